--- /dev/null
+++ b/loop/loop.go
@@ -0,0 +1,137 @@
+// Package loop runs the control state of a process on one goroutine.
+//
+// All machines of a process see all events in the same order. Actions that are
+// also events are fed back to the machines before the next event from outside,
+// so that a change of the member table or of the configuration reaches every
+// machine at the same point of the order.
+//
+// # Usage
+//
+//	l := loop.New(loop.Config{
+//		Machines: []jdaw.Machine{peersMachine, ownerMachine},
+//		Execute:  func(a jdaw.Action) { node.Execute(a) },
+//	})
+//	l.Post(ev)
+//	defer l.Close()
+package loop
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"jackdawbarrow"
+)
+
+// defaultTick is short against the shortest timeout of the machines, 250 ms.
+const defaultTick = 100 * time.Millisecond
+
+// Config configures a Loop.
+type Config struct {
+	Machines []jdaw.Machine
+	// Execute carries out an action. It is called on the loop's goroutine and
+	// must not block; executors start goroutines of their own for I/O.
+	Execute func(a jdaw.Action)
+	// Record, if set, sees each event from outside before it is handled.
+	Record func(at time.Time, ev jdaw.Event)
+	Clock  jdaw.Clock
+	Tick   time.Duration
+}
+
+// Loop owns the control state of one process.
+type Loop struct {
+	cfg  Config
+	wg   conc.WaitGroup
+	stop chan struct{}
+
+	mu    sync.Mutex
+	queue []jdaw.Event
+	wake  chan struct{}
+}
+
+// New starts the loop's goroutine.
+func New(cfg Config) *Loop {
+	if cfg.Clock == nil {
+		cfg.Clock = jdaw.SystemClock{}
+	}
+	if cfg.Tick == 0 {
+		cfg.Tick = defaultTick
+	}
+	l := &Loop{cfg: cfg, stop: make(chan struct{}), wake: make(chan struct{}, 1)}
+	l.wg.Go(func() { l.run() })
+	return l
+}
+
+// Post queues an event. It never blocks, so that executors called on the
+// loop's goroutine may post; the queue is bounded by the events in flight of
+// the gRPC handlers, which wait for their answers.
+func (l *Loop) Post(ev jdaw.Event) {
+	l.mu.Lock()
+	l.queue = append(l.queue, ev)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Close stops the goroutine and waits for it.
+func (l *Loop) Close() {
+	close(l.stop)
+	l.wg.Wait()
+}
+
+func (l *Loop) run() {
+	ticker := time.NewTicker(l.cfg.Tick)
+	defer ticker.Stop()
+	last := l.cfg.Clock.Now()
+	for {
+		// The tick is handled first: after a pause of the process it must
+		// reach the machines before events that were queued meanwhile, or an
+		// owner would grant credits in the belief that no time has passed.
+		now := l.cfg.Clock.Now()
+		if gap := now.Sub(last); gap >= l.cfg.Tick {
+			last = now
+			l.handle(now, jdaw.Tick{Gap: gap})
+		}
+		for _, ev := range l.take() {
+			l.handle(l.cfg.Clock.Now(), ev)
+		}
+		select {
+		case <-l.stop:
+			return
+		case <-l.wake:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (l *Loop) take() []jdaw.Event {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	events := l.queue
+	l.queue = nil
+	return events
+}
+
+// handle gives one event from outside to all machines, then the events that
+// the machines emitted.
+func (l *Loop) handle(at time.Time, ev jdaw.Event) {
+	if l.cfg.Record != nil {
+		l.cfg.Record(at, ev)
+	}
+	pending := []jdaw.Event{ev}
+	for len(pending) > 0 {
+		next := pending[0]
+		pending = pending[1:]
+		for _, m := range l.cfg.Machines {
+			for _, a := range m.Handle(at, next) {
+				if inner, ok := a.(jdaw.Event); ok {
+					pending = append(pending, inner)
+				}
+				l.cfg.Execute(a)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/loop/loop_test.go
@@ -0,0 +1,47 @@
+package loop_test
+
+import (
+	"testing"
+	"time"
+
+	"jackdawbarrow"
+	"jackdawbarrow/loop"
+)
+
+type ping struct{ n int }
+
+func (ping) EventName() string { return "ping" }
+
+type pong struct{ n int }
+
+func (pong) EventName() string  { return "pong" }
+func (pong) ActionName() string { return "pong" }
+
+type recorder struct{ seen chan string }
+
+func (r *recorder) Handle(_ time.Time, ev jdaw.Event) []jdaw.Action {
+	switch ev := ev.(type) {
+	case ping:
+		return []jdaw.Action{pong(ev)}
+	case pong:
+		r.seen <- ev.EventName()
+	}
+	return nil
+}
+
+// An action that is also an event must reach every machine, or a new
+// configuration would reach only the slice that adopted it.
+func TestActionsThatAreEventsReachAllMachines(t *testing.T) {
+	seen := make(chan string, 2)
+	l := loop.New(loop.Config{
+		Machines: []jdaw.Machine{&recorder{seen: seen}, &recorder{seen: make(chan string, 4)}},
+		Execute:  func(jdaw.Action) {},
+	})
+	defer l.Close()
+	l.Post(ping{n: 1})
+	select {
+	case <-seen:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the emitted event did not come back within 5 s")
+	}
+}
