--- a/config/check.go
+++ b/config/check.go
@@ -26,7 +26,7 @@
 // messages only.
 func ParseDocument(file string, b []byte) (Document, Faults) {
 	var d Document
-	if faults := decodeStrict(file, b, &d); len(faults) > 0 {
+	if faults := DecodeStrict(file, b, &d); len(faults) > 0 {
 		return Document{}, faults
 	}
 	c := newChecker(file, b)
--- a/config/settings.go
+++ b/config/settings.go
@@ -95,7 +95,7 @@
 // ParseSettings reads and checks settings in YAML; file is for messages only.
 func ParseSettings(file string, b []byte) (Settings, Faults) {
 	var s Settings
-	if faults := decodeStrict(file, b, &s); len(faults) > 0 {
+	if faults := DecodeStrict(file, b, &s); len(faults) > 0 {
 		return Settings{}, faults
 	}
 	s = s.withDefaults()
@@ -169,8 +169,8 @@
 	}
 }
 
-// decodeStrict decodes YAML and rejects unknown fields.
-func decodeStrict(file string, b []byte, into any) Faults {
+// DecodeStrict decodes YAML and rejects unknown fields.
+func DecodeStrict(file string, b []byte, into any) Faults {
 	err := yaml.UnmarshalWithOptions(b, into, yaml.Strict())
 	if err == nil {
 		return nil
