--- /dev/null
+++ b/serve/metrics.go
@@ -0,0 +1,24 @@
+package serve
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// newMeter returns the meter of a process and the handler of /metrics. Each
+// process has its own registry, so that several run in one test.
+func newMeter() (metric.Meter, http.Handler, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "make metrics exporter")
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
+	return provider.Meter("jackdawbarrow"), promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), nil
+}
