--- /dev/null
+++ b/ledger/copies.go
@@ -0,0 +1,455 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"jackdawbarrow"
+	"jackdawbarrow/wire"
+)
+
+// Timeouts of copies and of sealing.
+const (
+	// copyTimeout is well above a round trip between data centres and low
+	// enough to try the next VM within a caller's patience.
+	copyTimeout = 250 * time.Millisecond
+	// avoidTime is the time for which a VM that failed to take a copy is asked
+	// last; it covers the time until it is declared dead.
+	avoidTime = 2 * time.Second
+	// unseenTime is the time after which a home that never appeared in the
+	// member table is taken for dead. A new incarnation sends copies before
+	// the member table has it.
+	unseenTime = 10 * time.Second
+	// sealedHomeTime is the time for which a holder answers that a journal is
+	// sealed.
+	sealedHomeTime = time.Hour
+	sealAttempt    = 10 * time.Second
+)
+
+// copyResult counts the VMs that hold an entry.
+type copyResult struct {
+	held   int
+	sealed bool
+	full   bool
+}
+
+// sendCopies sends the entry to two other VMs; each refusal or failure moves
+// on to the next candidate.
+func (l *Ledger) sendCopies(ctx context.Context, j *journal, e *entry) copyResult {
+	raw, err := json.Marshal(e.bill)
+	if err != nil {
+		return copyResult{}
+	}
+	req := &wire.CopyRequest{
+		Header:        l.cfg.Header(),
+		Incarnation:   string(j.inc),
+		Entries:       [][]byte{raw},
+		DurableBefore: j.durableBefore(),
+		FirstNumber:   e.number,
+	}
+	candidates := make(chan jdaw.Member, 512)
+	for _, m := range l.candidates(j.inc) {
+		select {
+		case candidates <- m:
+		default: // 512 failing candidates take longer than any caller waits
+		}
+	}
+	close(candidates)
+	var results [copiesWanted]copyResult
+	var wg conc.WaitGroup
+	for i := range results {
+		wg.Go(func() { results[i] = l.copyToNext(ctx, req, candidates) })
+	}
+	wg.Wait()
+	var sum copyResult
+	for _, r := range results {
+		sum.held += r.held
+		sum.sealed = sum.sealed || r.sealed
+		sum.full = sum.full || r.full
+	}
+	return sum
+}
+
+// copyToNext asks candidates until one holds the entry.
+func (l *Ledger) copyToNext(ctx context.Context, req *wire.CopyRequest, candidates <-chan jdaw.Member) copyResult {
+	var sum copyResult
+	for m := range candidates {
+		if ctx.Err() != nil {
+			break
+		}
+		reply, err := l.copyTo(ctx, m, req)
+		switch {
+		case err != nil:
+			l.holders.avoid(m.VM, l.cfg.Clock.Now().Add(avoidTime))
+		case reply.GetSealed():
+			sum.sealed = true
+			return sum
+		case reply.GetFull():
+			sum.full = true
+		default:
+			sum.held = 1
+			return sum
+		}
+	}
+	return sum
+}
+
+func (l *Ledger) copyTo(ctx context.Context, m jdaw.Member, req *wire.CopyRequest) (*wire.CopyReply, error) {
+	client, err := l.cfg.Client(m.PeerAddr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	return client.Copy(ctx, req)
+}
+
+// candidates orders the other live VMs: those that answer before those that do
+// not, other data centres before the own one, then by rendezvous hash so that
+// a home keeps its holders. The first two are in different data centres where
+// possible.
+func (l *Ledger) candidates(inc jdaw.Incarnation) []jdaw.Member {
+	view := l.cfg.Views.View()
+	if view == nil {
+		return nil
+	}
+	self, _ := view.Member(l.cfg.VM)
+	now := l.cfg.Clock.Now()
+	rank := func(m jdaw.Member) int {
+		r := 0
+		if l.holders.isAvoided(m.VM, now) || m.State == jdaw.MemberSuspect {
+			r += 2
+		}
+		if m.DataCentre == self.DataCentre {
+			r++
+		}
+		return r
+	}
+	type ranked struct {
+		member jdaw.Member
+		rank   int
+		hash   uint64
+	}
+	var all []ranked
+	for _, m := range view.Serving() {
+		if m.VM != l.cfg.VM {
+			all = append(all, ranked{m, rank(m), rendezvous(inc, m.VM)})
+		}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].rank != all[j].rank {
+			return all[i].rank < all[j].rank
+		}
+		return all[i].hash > all[j].hash
+	})
+	for i := 1; i < len(all); i++ {
+		if all[i].rank == all[0].rank && all[i].member.DataCentre != all[0].member.DataCentre {
+			second := all[i]
+			copy(all[2:i+1], all[1:i])
+			all[1] = second
+			break
+		}
+	}
+	out := make([]jdaw.Member, len(all))
+	for i := range all {
+		out[i] = all[i].member
+	}
+	return out
+}
+
+func rendezvous(inc jdaw.Incarnation, vm jdaw.VMID) uint64 {
+	return xxhash.Sum64String(string(inc) + "/" + string(vm))
+}
+
+// holders is what this VM keeps for other VMs' journals.
+type holders struct {
+	mu      sync.Mutex
+	stopped bool // no sealing goroutine may start any more
+	homes   map[jdaw.Incarnation]*home
+	avoided map[jdaw.VMID]time.Time
+}
+
+// home is one journal of another VM, as its holder or a possible sealer sees it.
+type home struct {
+	vm            jdaw.VMID
+	entries       map[jdaw.RequestID]heldEntry
+	received      uint64 // counts the entries taken, in the order of arrival
+	durableBefore uint64
+	firstCopy     time.Time // zero if it never sent a copy
+	lastCopy      time.Time
+	seenAlive     bool
+	sealing       bool
+	sealed        bool
+	sealedAt      time.Time
+}
+
+type heldEntry struct {
+	number  uint64 // copy number given by the home
+	arrival uint64
+	bill    jdaw.Bill
+}
+
+func newHolders() *holders {
+	return &holders{homes: map[jdaw.Incarnation]*home{}, avoided: map[jdaw.VMID]time.Time{}}
+}
+
+func (h *holders) avoid(vm jdaw.VMID, until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.avoided[vm] = until
+}
+
+func (h *holders) isAvoided(vm jdaw.VMID, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Before(h.avoided[vm])
+}
+
+// home returns the record of a journal. The caller holds mu.
+func (h *holders) home(vm jdaw.VMID, inc jdaw.Incarnation) *home {
+	o := h.homes[inc]
+	if o == nil {
+		o = &home{vm: vm, entries: map[jdaw.RequestID]heldEntry{}}
+		h.homes[inc] = o
+	}
+	return o
+}
+
+// Copy implements the method of wire.PeerServer: it holds entries of another
+// VM's journal until they are in a slot.
+func (l *Ledger) Copy(_ context.Context, req *wire.CopyRequest) (*wire.CopyReply, error) {
+	bills := make([]jdaw.Bill, len(req.GetEntries()))
+	for i, raw := range req.GetEntries() {
+		if err := json.Unmarshal(raw, &bills[i]); err != nil {
+			return nil, errors.Wrap(err, "decode ledger entry")
+		}
+	}
+	reply := &wire.CopyReply{Header: l.cfg.Header()}
+	now := l.cfg.Clock.Now()
+	h := l.holders
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	o := h.home(jdaw.VMID(req.GetHeader().GetVm()), jdaw.Incarnation(req.GetIncarnation()))
+	if o.sealed {
+		reply.Sealed = true
+		return reply, nil
+	}
+	if o.firstCopy.IsZero() {
+		o.firstCopy = now
+	}
+	o.lastCopy = now
+	o.dropBefore(req.GetDurableBefore())
+	for i, b := range bills {
+		if !o.hold(req.GetFirstNumber()+uint64(i), b) {
+			reply.Full = true
+		}
+	}
+	return reply, nil
+}
+
+func (o *home) dropBefore(number uint64) {
+	if number <= o.durableBefore {
+		return
+	}
+	o.durableBefore = number
+	for id, e := range o.entries {
+		if e.number < number {
+			delete(o.entries, id)
+		}
+	}
+}
+
+// hold keeps one entry; it returns false if the buffer is full.
+func (o *home) hold(number uint64, b jdaw.Bill) bool {
+	if number < o.durableBefore {
+		return true
+	}
+	// Messages may arrive out of order; a settlement replaces the opened
+	// entry and never the other way round.
+	old, ok := o.entries[b.RequestID]
+	if ok && old.number >= number {
+		return true
+	}
+	if !ok && len(o.entries) >= maxUnrecorded {
+		return false
+	}
+	o.received++
+	o.entries[b.RequestID] = heldEntry{number: number, arrival: o.received, bill: b}
+	return true
+}
+
+// ViewChanged seals the journals of homes that the member table calls dead. It
+// is called on each jdaw.ViewChanged and once a second.
+func (l *Ledger) ViewChanged(view *jdaw.View) {
+	now := l.cfg.Clock.Now()
+	h := l.holders
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	// An isolated VM takes everybody else for dead.
+	if h.stopped || view.Isolated {
+		return
+	}
+	for _, m := range view.Members {
+		if m.VM != l.cfg.VM && m.State != jdaw.MemberDead && m.Incarnation != "" {
+			h.home(m.VM, m.Incarnation).seenAlive = true
+		}
+	}
+	for inc, o := range h.homes {
+		if o.sealed {
+			if now.Sub(o.sealedAt) > sealedHomeTime {
+				delete(h.homes, inc)
+			}
+			continue
+		}
+		if o.sealing || !o.isDead(view, inc, now) {
+			continue
+		}
+		if o.firstCopy.IsZero() && !l.isFirstSealer(view, inc) {
+			continue
+		}
+		o.sealing = true
+		l.wg.Go(func() { l.sealHome(o, inc) })
+	}
+}
+
+// isDead reports whether the journal's incarnation is over.
+func (o *home) isDead(view *jdaw.View, inc jdaw.Incarnation, now time.Time) bool {
+	m, ok := view.Member(o.vm)
+	if ok && m.Incarnation == inc {
+		return m.State == jdaw.MemberDead
+	}
+	return o.seenAlive || now.Sub(o.firstCopy) > unseenTime && now.Sub(o.lastCopy) > unseenTime
+}
+
+// isFirstSealer reports whether this VM seals a journal that it holds no
+// copies of. Both holders may have died with the home.
+func (l *Ledger) isFirstSealer(view *jdaw.View, inc jdaw.Incarnation) bool {
+	best, first := uint64(0), jdaw.VMID("")
+	for _, m := range view.Serving() {
+		if hash := rendezvous(inc, m.VM); first == "" || hash > best {
+			best, first = hash, m.VM
+		}
+	}
+	return first == l.cfg.VM
+}
+
+// sealHome seals the journal with the held entries. Copies that arrive while
+// the seal is written are written as well before the journal counts as sealed
+// here; from then on Copy refuses.
+func (l *Ledger) sealHome(o *home, inc jdaw.Incarnation) {
+	backoff := minBackoff
+	written := uint64(0) // entries up to this arrival are written
+	first := true
+	for {
+		entries, last := l.holders.entriesAfter(o, written)
+		if !first && len(entries) == 0 && l.holders.endSealing(o, written, l.cfg.Clock.Now()) {
+			l.cfg.Log.WithFields(logrus.Fields{"vm": l.cfg.VM, "home": o.vm, "incarnation": inc}).Info("journal of a dead VM is sealed")
+			l.event("journalSealedForDead", "journal "+string(inc)+" of "+string(o.vm)+" is sealed")
+			return
+		}
+		ctx, cancel := context.WithTimeout(l.ctx, sealAttempt)
+		err := sealJournal(ctx, l.cfg, inc, entries)
+		cancel()
+		if err == nil {
+			first, written, backoff = false, last, minBackoff
+			continue
+		}
+		if !sleep(l.ctx, backoff) {
+			return
+		}
+		backoff = min(2*backoff, maxBackoff)
+		// A home that was only unreachable goes on with its journal.
+		if view := l.cfg.Views.View(); first && view != nil && l.holders.cancelSealing(o, view, inc, l.cfg.Clock.Now()) {
+			return
+		}
+	}
+}
+
+// entriesAfter returns the entries that arrived after the given one. Copy
+// numbers would not do: messages may arrive out of order.
+func (h *holders) entriesAfter(o *home, arrival uint64) ([]jdaw.Bill, uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var held []heldEntry
+	for _, e := range o.entries {
+		if e.arrival > arrival {
+			held = append(held, e)
+		}
+	}
+	sort.Slice(held, func(i, j int) bool { return held[i].number < held[j].number })
+	var bills []jdaw.Bill
+	for _, e := range held {
+		bills = append(bills, e.bill)
+	}
+	return bills, o.received
+}
+
+// endSealing marks the home sealed unless further copies have arrived.
+func (h *holders) endSealing(o *home, written uint64, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if o.received > written {
+		return false
+	}
+	o.sealed, o.sealedAt = true, now
+	o.entries = nil
+	return true
+}
+
+func (h *holders) cancelSealing(o *home, view *jdaw.View, inc jdaw.Incarnation, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !view.Isolated && o.isDead(view, inc, now) {
+		return false
+	}
+	o.sealing = false
+	return true
+}
+
+// sealJournal seals a journal and records the entries in the seal, or after
+// the seal of another VM. Entries that are in the journal already do no harm:
+// the first settlement of a request counts.
+func sealJournal(ctx context.Context, cfg Config, inc jdaw.Incarnation, bills []jdaw.Bill) error {
+	next, err := findEnd(ctx, cfg.Store, inc)
+	if err != nil {
+		return err
+	}
+	sealed := false
+	if next > 0 {
+		last, _, err := readSlot(ctx, cfg.Store, inc, next-1)
+		if err != nil {
+			return err
+		}
+		sealed = last.Kind != slotBatch
+	}
+	// 4,096 entries may not fit into one value.
+	const perSlot = 1000
+	for !sealed || len(bills) > 0 {
+		part := bills[:min(len(bills), perSlot)]
+		kind := slotLate
+		if !sealed {
+			kind = slotSeal
+		}
+		s := newSlot(kind, cfg.VM, cfg.Clock.Now(), part)
+		there, err := writeSlot(ctx, cfg.Store, inc, next, s, func(error) {})
+		if err != nil {
+			return err
+		}
+		next++
+		if there.Batch == s.Batch {
+			bills = bills[len(part):]
+		}
+		if there.Kind != slotBatch {
+			sealed = true
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/ledger/journal.go
@@ -0,0 +1,276 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbarrow"
+)
+
+// Limits of a journal.
+const (
+	// maxUnrecorded bounds the entries that are not in a slot yet, together
+	// with the settlements that admitted requests will need. Holders of copies
+	// have the same bound per home.
+	maxUnrecorded = 4096
+	// maxBatchBytes leaves room under the 1 MB that the service takes.
+	maxBatchBytes = 700 << 10
+	// billOverhead estimates the JSON of a bill without its strings.
+	billOverhead = 320
+	// minCommitInterval and commitIntervalPerVM keep all VMs together at 200
+	// writes/s at most.
+	minCommitInterval   = 100 * time.Millisecond
+	commitIntervalPerVM = 5 * time.Millisecond
+)
+
+var errSealed = errors.New("the journal is sealed")
+
+// entry is one record on its way into a slot.
+type entry struct {
+	number uint64 // copy number
+	bill   jdaw.Bill
+	done   chan struct{} // closed when the entry is in a slot or cannot be
+	err    error         // set before done is closed
+}
+
+// journal is the journal of one incarnation of this process.
+type journal struct {
+	inc jdaw.Incarnation
+
+	mu       sync.Mutex
+	sequence uint64
+	numbers  uint64
+	pending  []*entry // not yet taken into a batch
+	inFlight []*entry
+	open     map[jdaw.RequestID]bool // admitted and not settled
+	settling map[jdaw.RequestID]*entry
+	sealed   bool
+	closed   bool
+	wake     chan struct{}
+}
+
+func newJournal(inc jdaw.Incarnation) *journal {
+	return &journal{
+		inc:      inc,
+		open:     map[jdaw.RequestID]bool{},
+		settling: map[jdaw.RequestID]*entry{},
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// admit mints a request id and queues the opened entry.
+func (j *journal) admit(b jdaw.Bill) (*entry, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.sealed {
+		return nil, errSealed
+	}
+	// Each open request keeps a place for its settlement.
+	if len(j.pending)+len(j.inFlight)+len(j.open)+2 > maxUnrecorded {
+		return nil, jdaw.Fail(jdaw.CodeJournalFull, "%d records wait for the key-value service", len(j.pending)+len(j.inFlight)).WithRetryAfter(1)
+	}
+	j.sequence++
+	b.RequestID = jdaw.RequestID(fmt.Sprintf("%s-%d", j.inc, j.sequence))
+	b.State = jdaw.BillOpen
+	j.open[b.RequestID] = true
+	return j.queue(b), nil
+}
+
+// settle queues the settlement; it returns the queued one if there is one, and
+// nil if the request is not open.
+func (j *journal) settle(b jdaw.Bill) *entry {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if e := j.settling[b.RequestID]; e != nil {
+		return e
+	}
+	if !j.open[b.RequestID] {
+		return nil
+	}
+	delete(j.open, b.RequestID)
+	b.State = jdaw.BillSettled
+	j.dropPendingOpen(b.RequestID)
+	e := j.queue(b)
+	j.settling[b.RequestID] = e
+	return e
+}
+
+// dropPendingOpen removes the opened entry of a request whose settlement is
+// queued before the opened entry was written: the settlement says it all. This
+// doubles the number of requests that fit into the journal in an outage.
+func (j *journal) dropPendingOpen(id jdaw.RequestID) {
+	for i, e := range j.pending {
+		if e.bill.RequestID == id {
+			j.pending = append(j.pending[:i:i], j.pending[i+1:]...)
+			close(e.done)
+			return
+		}
+	}
+}
+
+func (j *journal) queue(b jdaw.Bill) *entry {
+	j.numbers++
+	e := &entry{number: j.numbers, bill: b, done: make(chan struct{})}
+	j.pending = append(j.pending, e)
+	select {
+	case j.wake <- struct{}{}:
+	default:
+	}
+	return e
+}
+
+// durableBefore returns the lowest copy number that is not in a slot yet.
+func (j *journal) durableBefore() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.inFlight) > 0 {
+		return j.inFlight[0].number
+	}
+	if len(j.pending) > 0 {
+		return j.pending[0].number
+	}
+	return j.numbers + 1
+}
+
+func (j *journal) take() []*entry {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	size, n := 0, 0
+	for n < len(j.pending) {
+		b := j.pending[n].bill
+		size += billOverhead + 2*(len(b.RequestID)+len(b.Workspace)+len(b.Outlet)+len(b.Model)+len(b.Service))
+		if size > maxBatchBytes && n > 0 {
+			break
+		}
+		n++
+	}
+	j.inFlight = append([]*entry(nil), j.pending[:n]...)
+	j.pending = append([]*entry(nil), j.pending[n:]...)
+	return j.inFlight
+}
+
+// finish ends the batch in flight.
+func (j *journal) finish(err error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, e := range j.inFlight {
+		if e.bill.State == jdaw.BillSettled {
+			delete(j.settling, e.bill.RequestID)
+		}
+		e.err = err
+		close(e.done)
+	}
+	j.inFlight = nil
+}
+
+func (j *journal) hasPending() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.pending) > 0
+}
+
+func (j *journal) isSealed() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.sealed
+}
+
+// markSealed returns true the first time.
+func (j *journal) markSealed() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	first := !j.sealed
+	j.sealed = true
+	return first
+}
+
+// isRetired reports whether a sealed journal has nothing left to write.
+func (j *journal) isRetired() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.sealed && len(j.open)+len(j.pending)+len(j.inFlight) == 0
+}
+
+// write is the journal's writer goroutine. It ends when ctx does, or when the
+// journal is sealed and everything has been written.
+func (l *Ledger) write(ctx context.Context, j *journal) {
+	next := uint64(0)
+	var last time.Time
+	for {
+		for !j.hasPending() {
+			if j.isRetired() {
+				l.retire(j)
+				return
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-j.wake:
+			}
+		}
+		if !sleep(ctx, l.commitInterval()-time.Since(last)) {
+			return
+		}
+		last = time.Now()
+		batch := j.take()
+		if len(batch) == 0 {
+			continue
+		}
+		var err error
+		if next, err = l.writeBatch(ctx, j, next, batch); errors.Is(err, ctx.Err()) && ctx.Err() != nil {
+			return
+		}
+		j.finish(err)
+	}
+}
+
+// writeBatch writes the entries into the first slot that it can create from
+// next on and returns the number of the slot after it.
+func (l *Ledger) writeBatch(ctx context.Context, j *journal, next uint64, batch []*entry) (uint64, error) {
+	bills := make([]jdaw.Bill, len(batch))
+	for i, e := range batch {
+		bills[i] = e.bill
+	}
+	kind := slotBatch
+	s := newSlot(kind, l.cfg.VM, l.cfg.Clock.Now(), bills)
+	for {
+		there, err := writeSlot(ctx, l.cfg.Store, j.inc, next, s, l.storeFailed)
+		if err != nil {
+			return next, err
+		}
+		l.storeDown.Store(false)
+		next++
+		if there.Batch == s.Batch {
+			return next, nil
+		}
+		l.sealFound(j)
+		if there.Kind == slotClose {
+			j.mu.Lock()
+			j.closed = true
+			j.mu.Unlock()
+		}
+		if j.isClosed() {
+			return next, jdaw.Fail(jdaw.CodeOutcomeUnknown, "the journal was closed before the settlement was written")
+		}
+		s.Kind = slotLate
+	}
+}
+
+func (j *journal) isClosed() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.closed
+}
+
+// commitInterval is the time between two batches of this VM.
+func (l *Ledger) commitInterval() time.Duration {
+	live := 1
+	if view := l.cfg.Views.View(); view != nil {
+		live = len(view.Serving())
+	}
+	return max(minCommitInterval, time.Duration(live)*commitIntervalPerVM)
+}
