Add pool owners, credits and the choice of upstream

Cause: no slice decided yet which request runs on which upstream.

Change: package owner with the pure Machine (ownership, limits, credits, fair queueing, early refusal, retry budget, takeover), the Node that carries out its actions and serves the gRPC calls, and the Holder that implements jdaw.Credits. AcquireReply gets waited_micros: without it a credit that waited in the owner's queue for more than 1 s would be void on arrival, because its validity counts from before the call was sent.

--- /dev/null
+++ b/owner/events.go
@@ -0,0 +1,260 @@
+package owner
+
+import (
+	"time"
+
+	"jackdawbarrow"
+)
+
+// AcquireRequested asks for a credit. Ticket names the caller that waits for
+// the [Grant] or [Refuse] with the same number.
+type AcquireRequested struct {
+	Ticket      uint64              `json:"ticket"`
+	From        jdaw.VMID           `json:"from"`
+	Incarnation jdaw.Incarnation    `json:"incarnation"`
+	FromAddr    string              `json:"fromAddr,omitempty"`
+	Revision    jdaw.Revision       `json:"revision"`
+	Pool        jdaw.PoolID         `json:"pool"`
+	Workspace   jdaw.WorkspaceID    `json:"workspace"`
+	RequestID   jdaw.RequestID      `json:"requestId"`
+	Versions    []jdaw.ModelVersion `json:"versions,omitempty"`
+	Prefix      uint64              `json:"prefix,omitempty"`
+	Wait        time.Duration       `json:"wait"`
+	Priority    jdaw.Priority       `json:"priority"`
+	Exclude     []jdaw.UpstreamID   `json:"exclude,omitempty"`
+	Prefer      jdaw.UpstreamID     `json:"prefer,omitempty"`
+}
+
+// EventName implements jdaw.Event.
+func (AcquireRequested) EventName() string { return "acquireRequested" }
+
+// AcquireCancelled says that nobody waits for the ticket any more.
+type AcquireCancelled struct {
+	Ticket uint64 `json:"ticket"`
+}
+
+// EventName implements jdaw.Event.
+func (AcquireCancelled) EventName() string { return "acquireCancelled" }
+
+// Released is the end of one credit.
+type Released struct {
+	Credit              string            `json:"credit"`
+	Pool                jdaw.PoolID       `json:"pool"`
+	Upstream            jdaw.UpstreamID   `json:"upstream"`
+	Outcome             jdaw.Outcome      `json:"outcome"`
+	Version             jdaw.ModelVersion `json:"version"`
+	FirstToken          time.Duration     `json:"firstToken,omitempty"`
+	Duration            time.Duration     `json:"duration,omitempty"`
+	Rated               bool              `json:"rated,omitempty"`
+	Rating              float64           `json:"rating,omitempty"`
+	Leaving             bool              `json:"leaving,omitempty"`
+	Prefix              uint64            `json:"prefix,omitempty"`
+	UpstreamIncarnation string            `json:"upstreamIncarnation,omitempty"`
+}
+
+// CreditsReleased ends credits.
+type CreditsReleased struct {
+	From     jdaw.VMID  `json:"from"`
+	Releases []Released `json:"releases"`
+}
+
+// EventName implements jdaw.Event.
+func (CreditsReleased) EventName() string { return "creditsReleased" }
+
+// Held is a credit that a VM holds. An entry without credit in a renewal says
+// that the renewal lists all credits of its pool that the VM holds.
+type Held struct {
+	Credit    string           `json:"credit,omitempty"`
+	Pool      jdaw.PoolID      `json:"pool"`
+	Upstream  jdaw.UpstreamID  `json:"upstream,omitempty"`
+	Workspace jdaw.WorkspaceID `json:"workspace,omitempty"`
+}
+
+// CreditsRenewed lists what a VM holds; it is answered by [RenewAnswer].
+type CreditsRenewed struct {
+	Ticket      uint64           `json:"ticket"`
+	From        jdaw.VMID        `json:"from"`
+	Incarnation jdaw.Incarnation `json:"incarnation"`
+	Held        []Held           `json:"held"`
+}
+
+// EventName implements jdaw.Event.
+func (CreditsRenewed) EventName() string { return "creditsRenewed" }
+
+// LoadReported is the result of a poll. Failed reports carry only the names.
+type LoadReported struct {
+	Pool        jdaw.PoolID         `json:"pool"`
+	Upstream    jdaw.UpstreamID     `json:"upstream"`
+	Failed      bool                `json:"failed,omitempty"`
+	Incarnation string              `json:"incarnation,omitempty"`
+	Uptime      time.Duration       `json:"uptime,omitempty"`
+	Running     int                 `json:"running"`
+	Queued      int                 `json:"queued"`
+	Capacity    int                 `json:"capacity"`
+	Versions    []jdaw.ModelVersion `json:"versions,omitempty"`
+	Leaving     bool                `json:"leaving,omitempty"`
+	MeasuredAt  time.Time           `json:"measuredAt"`
+}
+
+// EventName implements jdaw.Event.
+func (LoadReported) EventName() string { return "loadReported" }
+
+// CacheChange is one change of an upstream's prefix cache.
+type CacheChange struct {
+	Sequence uint64    `json:"sequence"` // counts from 1 without gaps
+	Prefix   uint64    `json:"prefix"`
+	Evicted  bool      `json:"evicted,omitempty"` // false: stored
+	At       time.Time `json:"at"`
+}
+
+// CacheReported carries cache events of an upstream. They may be late, and a
+// jump in Sequence means that some were lost.
+type CacheReported struct {
+	Pool     jdaw.PoolID     `json:"pool"`
+	Upstream jdaw.UpstreamID `json:"upstream"`
+	Changes  []CacheChange   `json:"changes"`
+}
+
+// EventName implements jdaw.Event.
+func (CacheReported) EventName() string { return "cacheReported" }
+
+// OutstandingReported is a member's answer to [AskOutstanding].
+type OutstandingReported struct {
+	Pool        jdaw.PoolID      `json:"pool"`
+	From        jdaw.VMID        `json:"from"`
+	Incarnation jdaw.Incarnation `json:"incarnation"`
+	Failed      bool             `json:"failed,omitempty"`
+	Held        []Held           `json:"held,omitempty"`
+}
+
+// EventName implements jdaw.Event.
+func (OutstandingReported) EventName() string { return "outstandingReported" }
+
+// RevisionPullFailed says that the pull asked for by [PullRevision] failed. A
+// pull that succeeds shows as config.Adopted.
+type RevisionPullFailed struct {
+	Revision jdaw.Revision `json:"revision"`
+}
+
+// EventName implements jdaw.Event.
+func (RevisionPullFailed) EventName() string { return "revisionPullFailed" }
+
+// Grant gives a credit to the caller behind the ticket.
+type Grant struct {
+	Ticket   uint64            `json:"ticket"`
+	Credit   string            `json:"credit"`
+	Pool     jdaw.PoolID       `json:"pool"`
+	Upstream jdaw.UpstreamID   `json:"upstream"`
+	Address  string            `json:"address"`
+	Version  jdaw.ModelVersion `json:"version"`
+	// Waited is the time in the queue. The holder adds it to the time at
+	// which it sent the call to learn when the credit was granted at the
+	// earliest.
+	Waited time.Duration `json:"waited"`
+}
+
+// ActionName implements jdaw.Action.
+func (Grant) ActionName() string { return "grant" }
+
+// Refuse answers the ticket with a result code; nothing has run.
+type Refuse struct {
+	Ticket     uint64        `json:"ticket"`
+	Code       jdaw.Code     `json:"code"`
+	Message    string        `json:"message"`
+	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+}
+
+// ActionName implements jdaw.Action.
+func (Refuse) ActionName() string { return "refuse" }
+
+// PollLoad asks an upstream for its load report.
+type PollLoad struct {
+	Pool     jdaw.PoolID     `json:"pool"`
+	Upstream jdaw.UpstreamID `json:"upstream"`
+	Address  string          `json:"address"`
+}
+
+// ActionName implements jdaw.Action.
+func (PollLoad) ActionName() string { return "pollLoad" }
+
+// AskOutstanding asks a member which credits of the pool it holds.
+type AskOutstanding struct {
+	Pool jdaw.PoolID `json:"pool"`
+	VM   jdaw.VMID   `json:"vm"`
+	Addr string      `json:"addr"`
+}
+
+// ActionName implements jdaw.Action.
+func (AskOutstanding) ActionName() string { return "askOutstanding" }
+
+// PullRevision fetches the configuration from a VM that is ahead.
+type PullRevision struct {
+	Revision jdaw.Revision `json:"revision"`
+	FromAddr string        `json:"fromAddr"`
+}
+
+// ActionName implements jdaw.Action.
+func (PullRevision) ActionName() string { return "pullRevision" }
+
+// RenewAnswer answers [CreditsRenewed]. Unknown lists credits of pools that
+// this VM does not own.
+type RenewAnswer struct {
+	Ticket  uint64   `json:"ticket"`
+	Unknown []string `json:"unknown,omitempty"`
+}
+
+// ActionName implements jdaw.Action.
+func (RenewAnswer) ActionName() string { return "renewAnswer" }
+
+// VersionCounts are cumulative outcomes of one version in one pool.
+type VersionCounts struct {
+	Version         jdaw.ModelVersion `json:"version"`
+	Pool            jdaw.PoolID       `json:"pool"`
+	OK              uint64            `json:"ok"`
+	Failed          uint64            `json:"failed"`
+	Rated           uint64            `json:"rated"`
+	RatingSum       float64           `json:"ratingSum"`
+	RatingSquareSum float64           `json:"ratingSquareSum"`
+}
+
+// SendCounts sends outcome counts of a model in roll-out to its judge.
+type SendCounts struct {
+	Judge  jdaw.VMID       `json:"judge"`
+	Addr   string          `json:"addr"`
+	Counts []VersionCounts `json:"counts"`
+}
+
+// ActionName implements jdaw.Action.
+func (SendCounts) ActionName() string { return "sendCounts" }
+
+// PoolStats are figures of one owned pool.
+type PoolStats struct {
+	Pool     jdaw.PoolID `json:"pool"`
+	Granting bool        `json:"granting"`
+	InUse    int         `json:"inUse"`
+	Limit    int         `json:"limit"`
+	Waiting  int         `json:"waiting"`
+	// Firsts and Retries count granted credits; a retry names upstreams that
+	// failed the request before.
+	Firsts         uint64 `json:"firsts"`
+	Retries        uint64 `json:"retries"`
+	RetriesRefused uint64 `json:"retriesRefused"`
+	Refused        uint64 `json:"refused"`
+	ColdReturns    uint64 `json:"coldReturns"` // limits set back to the cold limit
+}
+
+// Amplification returns the upstream calls per request.
+func (s PoolStats) Amplification() float64 {
+	if s.Firsts == 0 {
+		return 1
+	}
+	return float64(s.Firsts+s.Retries) / float64(s.Firsts)
+}
+
+// PublishStats carries the figures of all owned pools, once a second.
+type PublishStats struct {
+	Pools []PoolStats `json:"pools"`
+}
+
+// ActionName implements jdaw.Action.
+func (PublishStats) ActionName() string { return "publishStats" }
--- /dev/null
+++ b/owner/holder.go
@@ -0,0 +1,508 @@
+package owner
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"jackdawbarrow"
+	"jackdawbarrow/config"
+	"jackdawbarrow/wire"
+)
+
+const (
+	// creditValidity is the time within which a credit must be used. A new
+	// owner's wait is longer.
+	creditValidity = time.Second
+	// releaseInterval gathers releases into one message.
+	releaseInterval = 20 * time.Millisecond
+	// releaseRetry is the pause before a release is sent again.
+	releaseRetry = 200 * time.Millisecond
+	// releaseAttempts bounds the tries; the owner then learns of the end by
+	// the next renewal, without the outcome.
+	releaseAttempts = 8
+	// renewInterval is the period of renewals.
+	renewInterval = time.Second
+	// renewAfter is the time for which pools without held credits are still
+	// renewed, so that an owner frees a credit whose grant was lost.
+	renewAfter = 5 * time.Second
+	// acquireSlack is the time that a call may take beyond the wait at the owner.
+	acquireSlack = 500 * time.Millisecond
+	// watchInterval is the period at which a waiting call checks its owner.
+	watchInterval = 100 * time.Millisecond
+	// maxBehind bounds the repetitions after a pull of the configuration.
+	maxBehind = 2
+)
+
+// pendingRelease is a release that no owner has confirmed yet.
+type pendingRelease struct {
+	r        Released
+	attempts int
+}
+
+// Holder is the requester's side. It implements jdaw.Credits.
+type Holder struct {
+	n    *Node
+	wake chan struct{}
+
+	mu      sync.Mutex
+	held    map[string]Held
+	order   []string // ids in held, in order of grant, with ids that have ended
+	pending []pendingRelease
+	recent  map[jdaw.PoolID]time.Time // last request
+}
+
+func newHolder(n *Node) *Holder {
+	h := &Holder{
+		n:      n,
+		wake:   make(chan struct{}, 1),
+		held:   map[string]Held{},
+		recent: map[jdaw.PoolID]time.Time{},
+	}
+	n.wg.Go(h.runReleases)
+	n.wg.Go(h.runRenewals)
+	return h
+}
+
+// Acquire implements jdaw.Credits. All its errors mean that nothing has run.
+func (h *Holder) Acquire(ctx context.Context, q jdaw.CreditRequest) (jdaw.Credit, error) {
+	for attempt := 0; ; attempt++ {
+		c, behind, err := h.acquire(ctx, q)
+		if behind == nil || attempt >= maxBehind {
+			return c, err
+		}
+		if behind.addr == "" {
+			continue // the snapshot was replaced while the request was under way
+		}
+		if err := h.n.cfg.AwaitRevision(ctx, behind.revision, behind.addr); err != nil {
+			return jdaw.Credit{}, jdaw.Fail(jdaw.CodeBehind, "revision %d could not be fetched: %v", behind.revision, err)
+		}
+	}
+}
+
+// behind says where to fetch the revision that an owner requires.
+type behind struct {
+	revision jdaw.Revision
+	addr     string // empty if this VM is the owner
+}
+
+func (h *Holder) acquire(ctx context.Context, q jdaw.CreditRequest) (jdaw.Credit, *behind, error) {
+	view, snap := h.n.cfg.Views.View(), h.n.cfg.Configs.Snapshot()
+	if snap == nil {
+		return jdaw.Credit{}, nil, jdaw.Fail(jdaw.CodeNoConfiguration, "this VM has no configuration yet")
+	}
+	if view == nil || view.Isolated {
+		return jdaw.Credit{}, nil, jdaw.Fail(jdaw.CodeIsolated, "this VM reaches no other VM")
+	}
+	m, ok := Of(view, snap, q.Pool)
+	if !ok {
+		return jdaw.Credit{}, nil, jdaw.Fail(jdaw.CodeNoOwner, "no live VM can own pool %s", q.Pool)
+	}
+	// The time before the call is sent bounds the time of the grant from below.
+	start := h.n.cfg.Clock.Now()
+	h.mu.Lock()
+	h.recent[q.Pool] = start
+	h.mu.Unlock()
+	ctx, stop := h.watch(ctx, m, q.Pool)
+	defer stop()
+	if m.VM == h.n.cfg.Self {
+		return h.acquireLocal(ctx, start, snap, q)
+	}
+	return h.acquireRemote(ctx, start, snap, m, q)
+}
+
+// errOwnerGone is the cause of a call that was given up because its owner is
+// suspected or replaced.
+var errOwnerGone = jdaw.Fail(jdaw.CodeNoOwner, "the owner of the pool does not answer")
+
+// watch gives up a waiting call when the member table shows that the owner
+// may be gone. A host that vanishes does not close its connections, so the
+// call alone would wait until its deadline.
+func (h *Holder) watch(ctx context.Context, m jdaw.Member, pool jdaw.PoolID) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	var timer *time.Timer
+	var mu sync.Mutex
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(watchInterval, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if ctx.Err() != nil {
+			return
+		}
+		if !h.isOwner(m, pool) {
+			cancel(errOwnerGone)
+			return
+		}
+		timer.Reset(watchInterval)
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
+}
+
+func (h *Holder) isOwner(m jdaw.Member, pool jdaw.PoolID) bool {
+	view, snap := h.n.cfg.Views.View(), h.n.cfg.Configs.Snapshot()
+	now, ok := Of(view, snap, pool)
+	if !ok || now.VM != m.VM || now.Incarnation != m.Incarnation || view.Isolated {
+		return false
+	}
+	return now.State != jdaw.MemberSuspect
+}
+
+func (h *Holder) acquireLocal(ctx context.Context, start time.Time, snap *config.Snapshot, q jdaw.CreditRequest) (jdaw.Credit, *behind, error) {
+	a, err := h.n.request(ctx, AcquireRequested{
+		From: h.n.cfg.Self, Incarnation: jdaw.Incarnation(h.n.cfg.Header().GetIncarnation()),
+		Revision: snap.Revision(), Pool: q.Pool, Workspace: q.Workspace, RequestID: q.RequestID,
+		Versions: q.Versions, Prefix: q.Prefix, Wait: q.Wait, Priority: q.Priority,
+		Exclude: q.Exclude, Prefer: q.Prefer,
+	})
+	if err != nil {
+		return jdaw.Credit{}, nil, callError(ctx, err)
+	}
+	switch a := a.(type) {
+	case Grant:
+		c, err := h.take(start, a.Waited, q, jdaw.Credit{
+			ID: a.Credit, Pool: q.Pool, Upstream: a.Upstream, Address: a.Address, Version: a.Version,
+		})
+		return c, nil, err
+	case Refuse:
+		return h.refused(a.Code, a.Message, a.RetryAfter, &behind{})
+	}
+	return jdaw.Credit{}, nil, jdaw.Fail(jdaw.CodeInternal, "unexpected answer %s", a.ActionName())
+}
+
+func (h *Holder) acquireRemote(ctx context.Context, start time.Time, snap *config.Snapshot, m jdaw.Member, q jdaw.CreditRequest) (jdaw.Credit, *behind, error) {
+	client, err := h.n.cfg.Client(m.PeerAddr)
+	if err != nil {
+		return jdaw.Credit{}, nil, jdaw.Fail(jdaw.CodeNoOwner, "the owner of pool %s cannot be reached: %v", q.Pool, err)
+	}
+	call, cancel := context.WithTimeout(ctx, q.Wait+acquireSlack)
+	defer cancel()
+	reply, err := client.Acquire(call, h.acquireRequest(snap, q))
+	if err != nil {
+		return jdaw.Credit{}, nil, callError(ctx, err)
+	}
+	if code := jdaw.Code(reply.GetCode()); code != jdaw.CodeOK {
+		after := time.Duration(reply.GetRetryAfterMillis()) * time.Millisecond
+		where := &behind{revision: jdaw.Revision(reply.GetHeader().GetRevision()), addr: m.PeerAddr}
+		return h.refused(code, reply.GetMessage(), after, where)
+	}
+	c, err := h.take(start, time.Duration(reply.GetWaitedMicros())*time.Microsecond, q, jdaw.Credit{
+		ID: reply.GetCredit(), Pool: q.Pool, Upstream: jdaw.UpstreamID(reply.GetUpstream()),
+		Address: reply.GetAddress(), Version: jdaw.ParseModelVersion(reply.GetVersion()),
+	})
+	return c, nil, err
+}
+
+func (h *Holder) acquireRequest(snap *config.Snapshot, q jdaw.CreditRequest) *wire.AcquireRequest {
+	header := h.n.cfg.Header()
+	// The versions were chosen by this snapshot, which may be older than what
+	// the header states by now.
+	header.Revision = uint64(snap.Revision())
+	in := &wire.AcquireRequest{
+		Header: header, Pool: q.Pool.String(), Workspace: string(q.Workspace),
+		Prefix: q.Prefix, WaitMillis: q.Wait.Milliseconds(), Priority: int32(q.Priority),
+		RequestId: string(q.RequestID), Prefer: string(q.Prefer),
+	}
+	for _, v := range q.Versions {
+		in.Versions = append(in.Versions, v.String())
+	}
+	for _, u := range q.Exclude {
+		in.Exclude = append(in.Exclude, string(u))
+	}
+	return in
+}
+
+func callError(ctx context.Context, err error) error {
+	switch cause := context.Cause(ctx); cause {
+	case nil:
+		return jdaw.Fail(jdaw.CodeNoOwner, "the owner of the pool cannot be reached: %v", err)
+	case errOwnerGone:
+		return errOwnerGone
+	}
+	return jdaw.Fail(jdaw.CodeDeadline, "the request ended before a credit was granted")
+}
+
+func (h *Holder) refused(code jdaw.Code, message string, after time.Duration, where *behind) (jdaw.Credit, *behind, error) {
+	err := jdaw.Fail(code, "%s", message).WithRetryAfter(int(math.Ceil(after.Seconds())))
+	if code != jdaw.CodeBehind {
+		where = nil
+	}
+	return jdaw.Credit{}, where, err
+}
+
+// take notes a credit as held. A credit that arrives after its validity, for
+// instance from an owner that was paused, is given back.
+func (h *Holder) take(start time.Time, waited time.Duration, q jdaw.CreditRequest, c jdaw.Credit) (jdaw.Credit, error) {
+	c.UseBefore = start.Add(waited + creditValidity)
+	h.mu.Lock()
+	h.held[c.ID] = Held{Credit: c.ID, Pool: c.Pool, Upstream: c.Upstream, Workspace: q.Workspace}
+	h.order = append(h.order, c.ID)
+	h.mu.Unlock()
+	if h.n.cfg.Clock.Now().Before(c.UseBefore) {
+		return c, nil
+	}
+	h.Release(jdaw.CreditResult{Credit: c, Workspace: q.Workspace, Outcome: jdaw.OutcomeUnused})
+	return jdaw.Credit{}, jdaw.Fail(jdaw.CodeNoOwner, "the credit arrived too late to be used")
+}
+
+// Release implements jdaw.Credits. The credit counts as held until an owner
+// has confirmed the release; otherwise a renewal that overtakes the release
+// would end the credit and lose its outcome.
+func (h *Holder) Release(r jdaw.CreditResult) {
+	h.mu.Lock()
+	h.pending = append(h.pending, pendingRelease{r: Released{
+		Credit: r.Credit.ID, Pool: r.Credit.Pool, Upstream: r.Credit.Upstream, Outcome: r.Outcome,
+		Version: r.Credit.Version, FirstToken: r.FirstToken, Duration: r.Duration,
+		Rated: r.Rated, Rating: r.Rating, Leaving: r.Leaving, Prefix: r.Prefix,
+		UpstreamIncarnation: r.UpstreamIncarnation,
+	}})
+	h.mu.Unlock()
+	h.wakeUp()
+}
+
+func (h *Holder) wakeUp() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Held returns the credits of the pool that this VM holds, in order of grant.
+func (h *Holder) Held(pool jdaw.PoolID) []Held {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []Held
+	for _, id := range h.order {
+		if c, ok := h.held[id]; ok && c.Pool == pool {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (h *Holder) runReleases() {
+	for {
+		select {
+		case <-h.n.ctx.Done():
+			return
+		case <-h.wake:
+		}
+		select {
+		case <-h.n.ctx.Done():
+			return
+		case <-time.After(releaseInterval):
+		}
+		for _, send := range h.flush() {
+			h.n.spawn(send)
+		}
+	}
+}
+
+// flush returns the calls that send the pending releases, one per owner.
+func (h *Holder) flush() []func(ctx context.Context) {
+	h.mu.Lock()
+	pending := h.pending
+	h.pending = nil
+	h.mu.Unlock()
+	batches := map[jdaw.VMID][]pendingRelease{}
+	owners := map[jdaw.VMID]jdaw.Member{}
+	var without []pendingRelease
+	for _, p := range pending {
+		m, ok := h.owner(p.r.Pool)
+		if !ok {
+			without = append(without, p)
+			continue
+		}
+		owners[m.VM] = m
+		batches[m.VM] = append(batches[m.VM], p)
+	}
+	var calls []func(ctx context.Context)
+	if len(without) > 0 {
+		calls = append(calls, func(ctx context.Context) { h.retry(ctx, without) })
+	}
+	for vm, batch := range batches {
+		calls = append(calls, func(ctx context.Context) { h.send(ctx, owners[vm], batch) })
+	}
+	return calls
+}
+
+func (h *Holder) owner(pool jdaw.PoolID) (jdaw.Member, bool) {
+	view, snap := h.n.cfg.Views.View(), h.n.cfg.Configs.Snapshot()
+	if view == nil || snap == nil {
+		return jdaw.Member{}, false
+	}
+	return Of(view, snap, pool)
+}
+
+func (h *Holder) send(ctx context.Context, m jdaw.Member, batch []pendingRelease) {
+	if m.VM == h.n.cfg.Self {
+		ev := CreditsReleased{From: m.VM}
+		for _, p := range batch {
+			ev.Releases = append(ev.Releases, p.r)
+		}
+		h.n.cfg.Post(ev)
+		h.confirm(batch)
+		return
+	}
+	in := &wire.ReleaseRequest{Header: h.n.cfg.Header()}
+	for _, p := range batch {
+		in.Releases = append(in.Releases, releasedToWire(p.r))
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client, err := h.n.cfg.Client(m.PeerAddr)
+	if err == nil {
+		_, err = client.ReleaseCredits(call, in)
+	}
+	if err != nil {
+		h.retry(ctx, batch)
+		return
+	}
+	h.confirm(batch)
+}
+
+func releasedToWire(r Released) *wire.Release {
+	return &wire.Release{
+		Credit:              r.Credit,
+		Pool:                r.Pool.String(),
+		Upstream:            string(r.Upstream),
+		Outcome:             string(r.Outcome),
+		Version:             r.Version.String(),
+		FirstTokenMicros:    r.FirstToken.Microseconds(),
+		DurationMicros:      r.Duration.Microseconds(),
+		Rated:               r.Rated,
+		Rating:              r.Rating,
+		Leaving:             r.Leaving,
+		Prefix:              r.Prefix,
+		UpstreamIncarnation: r.UpstreamIncarnation,
+	}
+}
+
+// retry puts releases back after a pause, to the owner as it is then. Those
+// that failed too often are given up.
+func (h *Holder) retry(ctx context.Context, batch []pendingRelease) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(releaseRetry):
+	}
+	var lost []pendingRelease
+	h.mu.Lock()
+	for _, p := range batch {
+		p.attempts++
+		if p.attempts >= releaseAttempts {
+			lost = append(lost, p)
+			continue
+		}
+		h.pending = append(h.pending, p)
+	}
+	h.mu.Unlock()
+	if len(lost) > 0 {
+		h.n.cfg.Log.WithField("releases", len(lost)).Warn("no owner took the releases, their outcomes are lost")
+		h.confirm(lost)
+	}
+	h.wakeUp()
+}
+
+// confirm ends the credits of a batch.
+func (h *Holder) confirm(batch []pendingRelease) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range batch {
+		delete(h.held, p.r.Credit)
+	}
+	if len(h.order) < 2*len(h.held)+16 {
+		return
+	}
+	kept := make([]string, 0, len(h.held))
+	for _, id := range h.order {
+		if _, ok := h.held[id]; ok {
+			kept = append(kept, id)
+		}
+	}
+	h.order = kept
+}
+
+func (h *Holder) runRenewals() {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.n.ctx.Done():
+			return
+		case <-ticker.C:
+			h.renew()
+		}
+	}
+}
+
+// renew sends each owner the credits that this VM holds of its pools. An
+// entry without credit marks a pool whose list is complete.
+func (h *Holder) renew() {
+	now := h.n.cfg.Clock.Now()
+	h.mu.Lock()
+	lists := map[jdaw.PoolID][]Held{}
+	for pool, last := range h.recent {
+		if now.Sub(last) > renewAfter {
+			delete(h.recent, pool)
+			continue
+		}
+		lists[pool] = []Held{{Pool: pool}}
+	}
+	for _, id := range h.order {
+		c, ok := h.held[id]
+		if !ok {
+			continue
+		}
+		if lists[c.Pool] == nil {
+			lists[c.Pool] = []Held{{Pool: c.Pool}}
+		}
+		lists[c.Pool] = append(lists[c.Pool], c)
+	}
+	h.mu.Unlock()
+	owners := map[jdaw.VMID]jdaw.Member{}
+	messages := map[jdaw.VMID][]Held{}
+	for pool, list := range lists {
+		m, ok := h.owner(pool)
+		if !ok {
+			continue
+		}
+		owners[m.VM] = m
+		messages[m.VM] = append(messages[m.VM], list...)
+	}
+	for vm, list := range messages {
+		h.n.spawn(func(ctx context.Context) { h.sendRenewal(ctx, owners[vm], list) })
+	}
+}
+
+func (h *Holder) sendRenewal(ctx context.Context, m jdaw.Member, list []Held) {
+	header := h.n.cfg.Header()
+	if m.VM == h.n.cfg.Self {
+		h.n.cfg.Post(CreditsRenewed{From: m.VM, Incarnation: jdaw.Incarnation(header.GetIncarnation()), Held: list})
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client, err := h.n.cfg.Client(m.PeerAddr)
+	if err == nil {
+		_, err = client.Renew(ctx, &wire.RenewRequest{Header: header, Held: heldToWire(list)})
+	}
+	if err != nil {
+		h.n.cfg.Log.WithError(err).WithField("vm", m.VM).Debug("credits not renewed, the next renewal repeats them")
+	}
+}
+
+// close sends what is pending, once, while calls still work.
+func (h *Holder) close() {
+	var wg conc.WaitGroup
+	for _, send := range h.flush() {
+		wg.Go(func() { send(h.n.ctx) })
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/owner/pool.go
@@ -0,0 +1,319 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jackdawbarrow"
+	"jackdawbarrow/config"
+	"jackdawbarrow/route"
+)
+
+const (
+	// takeoverWait exceeds the time for which a credit of the previous owner
+	// stays usable (1 s) plus the time until that owner notices its isolation.
+	takeoverWait = 2 * time.Second
+	// askInterval is the time after which a member is asked again what it holds.
+	askInterval = 500 * time.Millisecond
+	// pollInterval is the period of load reports.
+	pollInterval = time.Second
+	// retryShare is the number of retries that each first request pays for.
+	retryShare = 0.1
+	// retryBurst is the number of retries that a quiet pool may grant at once.
+	retryBurst = 10
+	// maxWaiting bounds the requests that wait at one pool.
+	maxWaiting = 4096
+	// minDurations is the number of ended requests from which waiting times
+	// are estimated.
+	minDurations = 10
+	// durationWeight is the weight of a new duration in the mean.
+	durationWeight = 0.05
+	// anyVersion is offered by each upstream; plain services have no versions.
+	anyVersion int16 = -1
+)
+
+// credit is the right to run one request on one upstream.
+type credit struct {
+	id          string
+	u           *upstream
+	vm          jdaw.VMID
+	incarnation jdaw.Incarnation
+	workspace   jdaw.WorkspaceID
+	prefix      uint64
+	bucket      int
+	grantedAt   time.Time
+	renewedAt   time.Time
+	deadAt      time.Time // when the holder was declared dead; zero if alive
+}
+
+// asked is a member whose holdings a new owner needs.
+type asked struct {
+	vm       jdaw.VMID
+	addr     string
+	last     time.Time
+	answered bool
+}
+
+// pool is the owner's state of one pool.
+type pool struct {
+	id        jdaw.PoolID
+	active    bool // owned, not isolated, with a majority
+	settled   bool // the wait after the takeover is over
+	grantFrom time.Time
+	asked     []asked
+
+	ups        []*upstream
+	byID       map[jdaw.UpstreamID]*upstream
+	candidates []route.Candidate // parallel to ups, kept between decisions
+	versions   map[jdaw.ModelVersion]int16
+	chooser    route.Chooser
+	holders    holderIndex
+	wasOut     bool
+
+	queue        queue
+	stuck        []uint64 // keys that no free upstream serves in this round
+	retryTokens  float64
+	meanDuration float64 // nanoseconds
+	durations    int
+	stats        PoolStats
+	outcomes     outcomes
+}
+
+func newPool(id jdaw.PoolID, chooser route.Chooser) *pool {
+	return &pool{
+		id:          id,
+		byID:        map[jdaw.UpstreamID]*upstream{},
+		versions:    map[jdaw.ModelVersion]int16{},
+		chooser:     chooser,
+		holders:     holderIndex{},
+		queue:       queue{byID: map[jdaw.WorkspaceID]*flow{}},
+		retryTokens: retryBurst,
+		stats:       PoolStats{Pool: id},
+	}
+}
+
+// versionID returns a small number for the version, so that a decision
+// compares numbers and not strings for each upstream.
+func (p *pool) versionID(v jdaw.ModelVersion) int16 {
+	id, ok := p.versions[v]
+	if !ok {
+		id = int16(len(p.versions))
+		p.versions[v] = id
+	}
+	return id
+}
+
+func (p *pool) granting(at time.Time) bool {
+	return p.active && p.settled && !at.Before(p.grantFrom)
+}
+
+// configure takes the pool's upstreams of a new configuration and returns the
+// credits of upstreams that are gone.
+func (p *pool) configure(at time.Time, snap *config.Snapshot) []*credit {
+	list := snap.Pool(p.id)
+	isOut := snap.IsOut(p.id.DataCentre)
+	back := p.wasOut && !isOut
+	p.wasOut = isOut
+	var gone []*credit
+	old := p.byID
+	p.byID = make(map[jdaw.UpstreamID]*upstream, len(list))
+	p.ups = p.ups[:0]
+	p.candidates = make([]route.Candidate, len(list))
+	for i, cfg := range list {
+		u := old[cfg.ID]
+		if u != nil && u.cfg.Address == cfg.Address {
+			delete(old, cfg.ID)
+			u.reconfigure(cfg)
+		} else {
+			u = newUpstream(p, cfg)
+		}
+		u.pos = i
+		p.byID[cfg.ID] = u
+		p.ups = append(p.ups, u)
+		p.candidates[i].Hash = u.hash
+		if back {
+			u.returnToCold(at)
+		}
+		u.sync()
+	}
+	for _, u := range old {
+		u.prefixes.clear(p.holders, u)
+		gone = append(gone, u.credits...)
+	}
+	return gone
+}
+
+func (u *upstream) reconfigure(cfg config.Upstream) {
+	u.cfg = cfg
+	u.limit = min(max(u.limit, u.coldLimit()), u.maxLimit())
+	u.setVersions()
+}
+
+// refresh decides which upstreams are in service.
+func (p *pool) refresh(snap *config.Snapshot, leavingAddrs map[string]bool) {
+	reachable := 0
+	for _, u := range p.ups {
+		if u.isReachable() {
+			reachable++
+		}
+	}
+	for _, u := range p.ups {
+		unreachable := !u.isReachable() && reachable > 0
+		u.inService = !unreachable && !u.isLeaving() &&
+			!snap.IsLeaving(u.cfg.ID) && !leavingAddrs[u.cfg.Address] &&
+			!snap.IsOut(p.id.DataCentre)
+	}
+}
+
+// choice is the result of choosing an upstream for a request.
+type choice struct {
+	u       *upstream // nil if none is free
+	version jdaw.ModelVersion
+	usable  bool // some upstream could serve the request if it were free
+	limit   int  // of the usable upstreams
+	barred  jdaw.Code
+}
+
+// choose looks for a free upstream, for the versions in order of preference.
+// Permissions are checked here, at the grant, because the request may have
+// waited while the configuration changed.
+func (p *pool) choose(snap *config.Snapshot, q *AcquireRequested) choice {
+	if len(q.Versions) == 0 {
+		return p.chooseVersion(q, jdaw.ModelVersion{}, anyVersion)
+	}
+	result := choice{}
+	for _, v := range q.Versions {
+		if code := permission(snap, q.Workspace, v); code != jdaw.CodeOK {
+			result.barred = max(result.barred, code)
+			continue
+		}
+		result.barred = jdaw.CodeNoUpstream // the highest of the three codes
+		id, known := p.versions[v]
+		if !known {
+			continue
+		}
+		c := p.chooseVersion(q, v, id)
+		if c.u != nil {
+			return c
+		}
+		result.usable = result.usable || c.usable
+		result.limit += c.limit
+	}
+	return result
+}
+
+func permission(snap *config.Snapshot, w jdaw.WorkspaceID, v jdaw.ModelVersion) jdaw.Code {
+	if snap.IsWithdrawn(v) {
+		return jdaw.CodeVersionWithdrawn
+	}
+	if !snap.IsAllowed(w, v) {
+		return jdaw.CodeModelNotAllowed
+	}
+	return jdaw.CodeOK
+}
+
+func (p *pool) chooseVersion(q *AcquireRequested, v jdaw.ModelVersion, id int16) choice {
+	c := choice{version: v, barred: jdaw.CodeNoUpstream}
+	for i, u := range p.ups {
+		usable := u.inService && u.offers(id)
+		p.candidates[i].Usable = usable
+		p.candidates[i].Cached = 0
+	}
+	for _, name := range q.Exclude {
+		if u := p.byID[name]; u != nil {
+			p.candidates[u.pos].Usable = false
+		}
+	}
+	for i := range p.candidates {
+		if p.candidates[i].Usable {
+			c.usable = true
+			c.limit += p.candidates[i].Limit
+		}
+	}
+	if !c.usable {
+		return c
+	}
+	if u := p.byID[q.Prefer]; u != nil && p.candidates[u.pos].IsFree() {
+		c.u = u
+		return c
+	}
+	if q.Prefix != 0 {
+		list := p.holders[q.Prefix]
+		for i := range list {
+			p.candidates[list[i].u.pos].Cached = list[i].probability()
+		}
+	}
+	if i := p.chooser.Choose(q.Prefix, p.candidates); i >= 0 {
+		c.u = p.ups[i]
+	}
+	return c
+}
+
+// keyOf returns the waiter's key, see waiter.
+func keyOf(q *AcquireRequested) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	// Writes to the digest never fail.
+	write := func(s string) { _, _ = d.WriteString(s); _, _ = d.WriteString("\x00") }
+	for _, v := range q.Versions {
+		write(v.Model)
+		write(v.Version)
+	}
+	write("")
+	for _, u := range q.Exclude {
+		write(string(u))
+	}
+	write(string(q.Workspace)) // permissions differ between workspaces
+	return d.Sum64()
+}
+
+func (p *pool) isStuck(key uint64) bool {
+	for _, k := range p.stuck {
+		if k == key {
+			return true
+		}
+	}
+	return false
+}
+
+// wait estimates how long the request with n others before it waits.
+func (p *pool) wait(n, limit int) time.Duration {
+	if p.durations < minDurations || limit == 0 {
+		return 0
+	}
+	return time.Duration(float64(n+1) * p.meanDuration / float64(limit))
+}
+
+func (p *pool) learnDuration(d time.Duration) {
+	p.durations++
+	weight := max(durationWeight, 1/float64(p.durations))
+	p.meanDuration += weight * (float64(d) - p.meanDuration)
+}
+
+// spendRetry applies the retry budget.
+func (p *pool) spendRetry(q *AcquireRequested) bool {
+	if len(q.Exclude) == 0 {
+		p.retryTokens = min(retryBurst, p.retryTokens+retryShare)
+		return true
+	}
+	// Ten additions of 0.1 are a little less than 1.
+	if p.retryTokens < 1-1e-9 {
+		p.stats.RetriesRefused++
+		return false
+	}
+	p.retryTokens--
+	return true
+}
+
+// snapshotStats returns the figures to publish.
+func (p *pool) snapshotStats(at time.Time) PoolStats {
+	s := p.stats
+	s.Granting = p.granting(at)
+	s.Waiting = p.queue.length
+	for _, u := range p.ups {
+		s.InUse += u.inUse()
+		s.Limit += u.limit
+	}
+	return s
+}
--- /dev/null
+++ b/owner/prefix.go
@@ -0,0 +1,129 @@
+package owner
+
+import "time"
+
+const (
+	// prefixesPerUpstream bounds the remembered prefixes of an upstream.
+	prefixesPerUpstream = 512
+	// holdersPerPrefix bounds the upstreams remembered for one prefix.
+	holdersPerPrefix = 8
+	// likelyCached is the probability given to a prefix that an upstream
+	// served and for which cache events have a gap since: its state is
+	// unknown, not absent.
+	likelyCached = 0.5
+)
+
+// holder is one upstream that served a prefix.
+type holder struct {
+	u  *upstream
+	at time.Time // last time that the prefix is known to have been cached
+}
+
+// holderIndex finds the upstreams that served a prefix.
+type holderIndex map[uint64][]holder
+
+// prefixRing holds the prefixes of one upstream in the order in which they
+// were first seen. Adding to a full ring forgets the oldest.
+type prefixRing struct {
+	ring     []uint64
+	next     int
+	sequence uint64    // of the last cache event
+	gapAt    time.Time // last gap in the cache events
+}
+
+// served notes that u has the prefix at time at.
+func (x holderIndex) served(u *upstream, prefix uint64, at time.Time) {
+	if prefix == 0 {
+		return
+	}
+	list := x[prefix]
+	for i := range list {
+		if list[i].u == u {
+			list[i].at = at
+			return
+		}
+	}
+	if len(list) >= holdersPerPrefix {
+		list = dropOldest(list)
+	}
+	x[prefix] = append(list, holder{u: u, at: at})
+	u.prefixes.push(x, u, prefix)
+}
+
+func dropOldest(list []holder) []holder {
+	oldest := 0
+	for i := range list {
+		if list[i].at.Before(list[oldest].at) {
+			oldest = i
+		}
+	}
+	return append(list[:oldest], list[oldest+1:]...)
+}
+
+// forget removes u from the prefix.
+func (x holderIndex) forget(u *upstream, prefix uint64) {
+	list := x[prefix]
+	for i := range list {
+		if list[i].u != u {
+			continue
+		}
+		list = append(list[:i], list[i+1:]...)
+		break
+	}
+	if len(list) == 0 {
+		delete(x, prefix)
+		return
+	}
+	x[prefix] = list
+}
+
+func (r *prefixRing) push(x holderIndex, u *upstream, prefix uint64) {
+	if len(r.ring) < prefixesPerUpstream {
+		r.ring = append(r.ring, prefix)
+		return
+	}
+	x.forget(u, r.ring[r.next])
+	r.ring[r.next] = prefix
+	r.next = (r.next + 1) % prefixesPerUpstream
+}
+
+func (r *prefixRing) clear(x holderIndex, u *upstream) {
+	for _, prefix := range r.ring {
+		x.forget(u, prefix)
+	}
+	r.ring = r.ring[:0]
+	r.next = 0
+}
+
+// probability returns how likely the prefix is still cached.
+func (h *holder) probability() float64 {
+	if h.at.Before(h.u.prefixes.gapAt) {
+		return likelyCached
+	}
+	return 1
+}
+
+// apply takes cache events. An eviction that is older than the last use of
+// the prefix is late and changes nothing.
+func (x holderIndex) apply(at time.Time, u *upstream, changes []CacheChange) {
+	r := &u.prefixes
+	for _, c := range changes {
+		if c.Sequence <= r.sequence {
+			continue // repeated
+		}
+		if c.Sequence > r.sequence+1 && r.sequence > 0 {
+			r.gapAt = at
+		}
+		r.sequence = c.Sequence
+		if !c.Evicted {
+			x.served(u, c.Prefix, c.At)
+			continue
+		}
+		for _, h := range x[c.Prefix] {
+			if h.u == u && !c.At.Before(h.at) {
+				x.forget(u, c.Prefix)
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/owner/upstream.go
@@ -0,0 +1,410 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jackdawbarrow"
+	"jackdawbarrow/config"
+)
+
+const (
+	// staleReport is the age at which a load report no longer counts. Work
+	// that only a report shows would otherwise hold credits for ever.
+	staleReport = 3 * time.Second
+	// clockTolerance covers the difference between the clock of an upstream
+	// and that of the owner when own credits are compared with a report.
+	clockTolerance = 50 * time.Millisecond
+	// maxClockStep is the difference beyond which an older measurement time
+	// means that the upstream's clock was set and not that the report is late.
+	maxClockStep = time.Minute
+	// uptimeTolerance covers rounding in reported uptimes.
+	uptimeTolerance = 500 * time.Millisecond
+	// maxFailedPolls is the number of failed polls in a row after which an
+	// upstream gets no credits while others of its pool can be reached.
+	maxFailedPolls = 3
+	// loadBuckets divides the loads of an upstream into ranges within which
+	// first-token times are compared.
+	loadBuckets = 4
+	// minLearned is the number of first-token times that a bucket needs
+	// before a jump is recognised.
+	minLearned = 8
+	// jumpFactor is the ratio to the learned first-token time that counts as
+	// a jump.
+	jumpFactor = 3
+	// minJump keeps scheduling noise of very fast upstreams from counting.
+	minJump = 50 * time.Millisecond
+	// jumpsToCold is the number of jumps in a row that return an upstream to
+	// its cold limit. A single long prompt must not do so.
+	jumpsToCold = 2
+	// refusalsToCold is the same for refusals.
+	refusalsToCold = 2
+	// learnWeight is the weight of a new first-token time.
+	learnWeight = 0.1
+	// defaultInTime is the first-token time that counts as in time for a
+	// model without a figure in the configuration.
+	defaultInTime = 1100 * time.Millisecond
+	// leavingHold is the time for which an upstream's own word that it is
+	// leaving outweighs load reports that do not say so yet.
+	leavingHold = 2 * time.Second
+	// historySize bounds the remembered changes of the own count.
+	historySize = 128
+)
+
+// learned is the usual first-token time at one range of loads.
+type learned struct {
+	mean    float64 // nanoseconds
+	samples int
+}
+
+// ownCount is the number of own credits from a time on.
+type ownCount struct {
+	at  time.Time
+	own int
+}
+
+// upstream is the owner's state of one upstream.
+type upstream struct {
+	cfg  config.Upstream
+	pool *pool
+	pos  int // index in the pool
+	hash uint64
+
+	limit     int
+	capacity  int // from the load report; 0 if it states none
+	successes int // in time, since the limit changed
+	refusals  int // in a row
+	jumps     int // in a row
+	coldSince time.Time
+
+	credits []*credit // in order of grant
+	foreign int       // work that a load report shows beyond own credits
+	// hadForeign says that the last report showed foreign work.
+	hadForeign bool
+	history    [historySize]ownCount
+	changes    int // number of entries ever written to history
+
+	incarnation     string
+	lastIncarnation string
+	uptime          time.Duration
+	measuredAt      time.Time
+	reportedAt      time.Time // arrival
+	reported        int       // running and queued
+	failedPolls     int
+	nextPoll        time.Time
+	versions        []int16
+
+	reportedVersions []jdaw.ModelVersion
+
+	reportLeaving bool
+	saidLeaving   time.Time
+	inService     bool
+	firstTokens   [loadBuckets]learned
+	prefixes      prefixRing
+}
+
+func newUpstream(p *pool, cfg config.Upstream) *upstream {
+	u := &upstream{cfg: cfg, pool: p, hash: xxhash.Sum64String(string(cfg.ID))}
+	u.limit = u.coldLimit()
+	u.setVersions()
+	return u
+}
+
+func parseVersions(names []string) []jdaw.ModelVersion {
+	out := make([]jdaw.ModelVersion, 0, len(names))
+	for _, n := range names {
+		out = append(out, jdaw.ParseModelVersion(n))
+	}
+	return out
+}
+
+func (u *upstream) maxLimit() int {
+	limit := max(u.cfg.MaxConcurrent, 1)
+	if u.capacity > 0 {
+		limit = min(limit, u.capacity)
+	}
+	return limit
+}
+
+func (u *upstream) coldLimit() int {
+	return min(max(u.cfg.ColdConcurrent, 1), u.maxLimit())
+}
+
+// inUse is the number of credits that count against the limit.
+func (u *upstream) inUse() int { return len(u.credits) + u.foreign }
+
+// setVersions takes the versions of the configuration or, if it has none, of
+// the load report.
+func (u *upstream) setVersions() {
+	versions := u.reportedVersions
+	if len(u.cfg.Versions) > 0 {
+		versions = parseVersions(u.cfg.Versions)
+	}
+	u.versions = u.versions[:0]
+	for _, v := range versions {
+		u.versions = append(u.versions, u.pool.versionID(v))
+	}
+}
+
+func (u *upstream) offers(version int16) bool {
+	if version == anyVersion {
+		return true
+	}
+	for _, v := range u.versions {
+		if v == version {
+			return true
+		}
+	}
+	return false
+}
+
+// sync copies what the chooser sees.
+func (u *upstream) sync() {
+	c := &u.pool.candidates[u.pos]
+	c.InUse = u.inUse()
+	c.Limit = u.limit
+}
+
+func (u *upstream) add(at time.Time, c *credit) {
+	u.credits = append(u.credits, c)
+	u.countChanged(at)
+}
+
+func (u *upstream) remove(at time.Time, c *credit) {
+	for i, other := range u.credits {
+		if other == c {
+			u.credits = append(u.credits[:i], u.credits[i+1:]...)
+			break
+		}
+	}
+	u.countChanged(at)
+}
+
+func (u *upstream) countChanged(at time.Time) {
+	u.history[u.changes%historySize] = ownCount{at: at, own: len(u.credits)}
+	u.changes++
+	u.sync()
+}
+
+// ownAround returns the smallest and the largest own count around time t. If
+// t is older than the history, the oldest count in it stands for those before.
+func (u *upstream) ownAround(t time.Time) (least, most int) {
+	from, to := t.Add(-clockTolerance), t.Add(clockTolerance)
+	least = len(u.credits)
+	found := false
+	include := func(own int) {
+		if !found {
+			least, most, found = own, own, true
+			return
+		}
+		least, most = min(least, own), max(most, own)
+	}
+	oldest := max(0, u.changes-historySize)
+	for i := u.changes - 1; i >= oldest; i-- {
+		h := u.history[i%historySize]
+		if h.at.After(to) {
+			continue
+		}
+		include(h.own)
+		if !h.at.After(from) {
+			return least, most
+		}
+	}
+	if oldest == 0 {
+		include(0)
+	} else {
+		include(u.history[oldest%historySize].own)
+	}
+	return least, most
+}
+
+// report takes a load report. The count in use must be the larger of the own
+// and the reported count, but the report is old: credits granted since are not
+// in it, and credits ended since still are. The report is therefore compared
+// with the own count at the time of the measurement. What exceeds it is
+// foreign work (of a cut-off VM or another owner), which is added to the own
+// count. max(own, reported) alone would grant the same free place again and
+// again until the next report when most of the work is foreign.
+//
+// Releases arrive a little after the upstream has finished, so the own count
+// at the measurement is known only within a range. Work is foreign if it
+// exceeds the whole range. Once some is known to be, the cautious end of the
+// range counts, until two reports in a row show none.
+func (u *upstream) report(at time.Time, r LoadReported) {
+	if r.Failed {
+		u.failedPolls++
+		return
+	}
+	u.failedPolls = 0
+	measured := r.MeasuredAt
+	if measured.IsZero() || measured.After(at) {
+		measured = at
+	}
+	age := u.measuredAt.Sub(measured)
+	if age > 0 && age < maxClockStep {
+		return // overtaken by a later report
+	}
+	restarted := u.isNewIncarnation(r.Incarnation) || r.Uptime+uptimeTolerance < u.uptime
+	if restarted {
+		u.foreign = 0
+		u.saidLeaving = time.Time{}
+		u.returnToCold(at)
+	}
+	u.setIncarnation(r.Incarnation)
+	u.uptime = r.Uptime
+	u.measuredAt, u.reportedAt = measured, at
+	u.capacity = r.Capacity
+	u.limit = min(u.limit, u.maxLimit())
+	u.reported = r.Running + r.Queued
+	u.foreign = u.foreignIn(u.reported, measured)
+	u.reportLeaving = r.Leaving
+	if measured.Sub(u.saidLeaving) > leavingHold {
+		u.saidLeaving = time.Time{}
+	}
+	u.reportedVersions = r.Versions
+	u.setVersions()
+	u.sync()
+}
+
+func (u *upstream) foreignIn(reported int, measured time.Time) int {
+	least, most := u.ownAround(measured)
+	atMost := max(0, reported-least)
+	if reported > most {
+		u.hadForeign = true
+		return atMost
+	}
+	if u.hadForeign {
+		u.hadForeign = false
+		return min(u.foreign, atMost)
+	}
+	return 0
+}
+
+func (u *upstream) isNewIncarnation(inc string) bool {
+	return inc != "" && u.incarnation != "" && inc != u.incarnation
+}
+
+func (u *upstream) setIncarnation(inc string) {
+	if inc == "" || inc == u.incarnation {
+		return
+	}
+	u.lastIncarnation = u.incarnation
+	u.incarnation = inc
+}
+
+// dropStaleReport forgets foreign work if reports stopped.
+func (u *upstream) dropStaleReport(at time.Time) {
+	if u.foreign > 0 && at.Sub(u.reportedAt) > staleReport {
+		u.foreign = 0
+		u.sync()
+	}
+}
+
+func (u *upstream) isReachable() bool { return u.failedPolls < maxFailedPolls }
+
+func (u *upstream) isLeaving() bool {
+	return u.reportLeaving || !u.saidLeaving.IsZero()
+}
+
+// returnToCold sets the limit back and starts the growth anew.
+func (u *upstream) returnToCold(at time.Time) {
+	u.pool.stats.ColdReturns++
+	u.limit = min(u.limit, u.coldLimit())
+	u.successes = 0
+	u.refusals = 0
+	u.jumps = 0
+	u.coldSince = at
+	u.prefixes.clear(u.pool.holders, u)
+	u.sync()
+}
+
+func (u *upstream) halve() {
+	u.limit = max(u.limit/2, u.coldLimit())
+	u.successes = 0
+	u.sync()
+}
+
+// end learns from the end of one of the upstream's credits.
+func (u *upstream) end(at time.Time, c *credit, r Released, inTime time.Duration) {
+	// A late result of the process before the restart says nothing of the
+	// process that runs now.
+	if r.UpstreamIncarnation != "" && r.UpstreamIncarnation == u.lastIncarnation {
+		return
+	}
+	if u.isNewIncarnation(r.UpstreamIncarnation) {
+		u.setIncarnation(r.UpstreamIncarnation)
+		u.uptime = 0
+		u.returnToCold(at)
+	}
+	if r.Leaving {
+		u.saidLeaving = at
+	}
+	switch r.Outcome {
+	case jdaw.OutcomeOK:
+		u.succeeded(at, c, r, inTime)
+	case jdaw.OutcomeFailed:
+		u.refusals = 0
+		u.halve()
+	case jdaw.OutcomeRefused:
+		u.refusals++
+		if u.refusals >= refusalsToCold {
+			u.returnToCold(at)
+			return
+		}
+		u.halve()
+	}
+}
+
+func (u *upstream) succeeded(at time.Time, c *credit, r Released, inTime time.Duration) {
+	u.refusals = 0
+	if r.FirstToken > 0 && u.isJump(c.bucket, r.FirstToken) {
+		u.jumps++
+		if u.jumps >= jumpsToCold {
+			u.returnToCold(at)
+		}
+		return
+	}
+	u.jumps = 0
+	if c.grantedAt.Before(u.coldSince) || r.FirstToken > inTime {
+		return
+	}
+	u.successes++
+	if u.successes < u.limit || u.limit >= u.maxLimit() {
+		return
+	}
+	u.limit++
+	u.successes = 0
+	u.sync()
+}
+
+// isJump compares a first-token time with the learned one and learns it. A
+// jump is learned with a bound, so that an upstream that stays slower is not
+// held at its cold limit for ever.
+func (u *upstream) isJump(bucket int, d time.Duration) bool {
+	l := &u.firstTokens[bucket]
+	v := float64(d)
+	bound := jumpFactor * l.mean
+	jump := l.samples >= minLearned && v > bound && v > l.mean+float64(minJump)
+	if jump {
+		v = bound
+	}
+	l.samples++
+	weight := max(learnWeight, 1/float64(l.samples))
+	l.mean += weight * (v - l.mean)
+	return jump
+}
+
+// bucket returns the range of loads that a request meets if it is granted now.
+func (u *upstream) bucket() int {
+	return min(loadBuckets-1, u.inUse()*loadBuckets/max(u.cfg.MaxConcurrent, 1))
+}
+
+// restart sets the limit after a change of owner: what runs is known to fit,
+// and more has to be earned.
+func (u *upstream) restart(at time.Time) {
+	u.limit = min(max(u.coldLimit(), u.inUse()), u.maxLimit())
+	u.successes = 0
+	u.coldSince = at
+	u.sync()
+}
