--- a/traffic.go
+++ b/traffic.go
@@ -175,6 +175,9 @@
 	Position int
 	// Text is the answer so far, for continuing on another upstream.
 	Text string
+	// UseBefore, unless zero, is the end of the credit: later, no byte of the
+	// request may be written.
+	UseBefore time.Time
 }
 
 // Chunk is one piece of a streamed answer.
@@ -198,6 +201,12 @@
 	Close()
 }
 
+// LeavingReporter is implemented by streams and errors of [Engine] and
+// [Service] that know whether the upstream said that it is leaving.
+type LeavingReporter interface {
+	Leaving() bool
+}
+
 // Engine calls model engines.
 type Engine interface {
 	Chat(ctx context.Context, address string, q ChatRequest) (ChatStream, error)
@@ -212,6 +221,8 @@
 	Body        []byte
 	Idempotent  bool
 	Key         string // idempotency key passed on to the service; may be empty
+	// UseBefore is as for [ChatRequest].
+	UseBefore time.Time
 }
 
 // ServiceAnswer is the answer of a plain service.
