--- a/admin/values.go
+++ b/admin/values.go
@@ -29,20 +29,14 @@
 	Suspend(ctx context.Context, s jdaw.Suspension) (Result, error)
 }
 
-// PoolStatus is what a VM knows of a pool that it owns.
+// PoolStatus is what a VM knows of a pool. The figures are those of its owner
+// and 0 at other VMs.
 type PoolStatus struct {
-	Pool      string           `json:"pool"`
-	Owner     jdaw.VMID        `json:"owner"`
-	Waiting   int              `json:"waiting"`
-	Upstreams []UpstreamStatus `json:"upstreams,omitempty"`
-}
-
-// UpstreamStatus is the state of an upstream at its pool's owner.
-type UpstreamStatus struct {
-	Upstream jdaw.UpstreamID `json:"upstream"`
-	Limit    int             `json:"limit"`
-	InUse    int             `json:"inUse"`
-	Leaving  bool            `json:"leaving,omitempty"`
+	Pool    string    `json:"pool"`
+	Owner   jdaw.VMID `json:"owner"`
+	Waiting int       `json:"waiting"`
+	InUse   int       `json:"inUse"`
+	Limit   int       `json:"limit"`
 }
 
 // RolloutStatus is the progress of a roll-out as its judge sees it.
--- a/cmd/jackdawbarrow/read.go
+++ b/cmd/jackdawbarrow/read.go
@@ -40,12 +40,13 @@
 	for _, m := range s.Members {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", m.VM, m.DataCentre, m.State, m.Revision, m.EntryAddr)
 	}
-	fmt.Fprintln(w, "\npool\towner\twaiting\tupstream\tin use\tlimit")
+	fmt.Fprintln(w, "\npool\towner\twaiting\tin use\tlimit")
 	for _, p := range s.Pools {
-		fmt.Fprintf(w, "%s\t%s\t%d\t\t\t\n", p.Pool, p.Owner, p.Waiting)
-		for _, u := range p.Upstreams {
-			fmt.Fprintf(w, "\t\t\t%s\t%d\t%d\n", u.Upstream, u.InUse, u.Limit)
+		if p.Owner != s.VM {
+			fmt.Fprintf(w, "%s\t%s\t\t\t\n", p.Pool, p.Owner)
+			continue
 		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n", p.Pool, p.Owner, p.Waiting, p.InUse, p.Limit)
 	}
 	for _, r := range s.Rollouts {
 		fmt.Fprintf(w, "\nroll-out %s: %s, %g%%, %d answered, %d failed %s\n", r.Version, r.State, r.SharePercent, r.OK, r.Failed, r.Note)
--- a/config/settings.go
+++ b/config/settings.go
@@ -98,13 +98,14 @@
 	if faults := DecodeStrict(file, b, &s); len(faults) > 0 {
 		return Settings{}, faults
 	}
-	s = s.withDefaults()
+	s = s.WithDefaults()
 	c := newChecker(file, b)
 	s.check(c)
 	return s, c.faults
 }
 
-func (s Settings) withDefaults() Settings {
+// WithDefaults returns the settings with empty fields filled in.
+func (s Settings) WithDefaults() Settings {
 	if s.Advertise.Callers == "" && s.Listen.Callers != "" {
 		s.Advertise.Callers = "http://" + s.Listen.Callers
 		if s.TLS.Callers.IsSet() {
--- a/demo/standin.go
+++ b/demo/standin.go
@@ -93,7 +93,11 @@
 	if err != nil {
 		return err
 	}
-	created, err := store.New(store.Config{Addresses: []string{keyValueAddr}}).Put(ctx, config.StoreKey, b, 0)
+	kv, err := store.New(store.Config{Addresses: []string{keyValueAddr}})
+	if err != nil {
+		return err
+	}
+	created, err := kv.Put(ctx, config.StoreKey, b, 0)
 	if err != nil {
 		return errors.Wrap(err, "store configuration")
 	}
--- a/fakes/vmlist.go
+++ b/fakes/vmlist.go
@@ -1,5 +1,3 @@
-// Package fakes holds stand-ins for the services of the platform, for tests
-// and for the demo on loopback.
 package fakes
 
 import (
@@ -14,6 +12,7 @@
 
 // VMList stands in for the platform's list of live and leaving VMs. It is an
 // http.Handler for GET /v1/vms. A reader sees each change only after the lag.
+// Another process changes it with POST /fake/vms and a VMListChange as body.
 type VMList struct {
 	mu      sync.Mutex
 	lag     time.Duration
@@ -92,8 +91,49 @@
 	return l.reads
 }
 
+// VMListChange is the body of POST /fake/vms.
+type VMListChange struct {
+	Set       []peers.ListedVM       `json:"set,omitempty"`
+	Remove    []jdaw.VMID            `json:"remove,omitempty"`
+	Upstreams []peers.ListedUpstream `json:"upstreams,omitempty"`
+	Down      *bool                  `json:"down,omitempty"`
+	LagMillis *int                   `json:"lagMillis,omitempty"`
+}
+
+// Apply makes the changes.
+func (l *VMList) Apply(c VMListChange) {
+	for _, vm := range c.Set {
+		l.SetVM(vm)
+	}
+	for _, id := range c.Remove {
+		l.RemoveVM(id)
+	}
+	for _, u := range c.Upstreams {
+		l.SetUpstream(u)
+	}
+	if c.Down != nil {
+		l.SetDown(*c.Down)
+	}
+	if c.LagMillis != nil {
+		l.SetLag(time.Duration(*c.LagMillis) * time.Millisecond)
+	}
+}
+
+func (l *VMList) serveChange(w http.ResponseWriter, r *http.Request) {
+	var c VMListChange
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.Apply(c)
+}
+
 // ServeHTTP implements http.Handler.
 func (l *VMList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/fake/vms" && r.Method == http.MethodPost {
+		l.serveChange(w, r)
+		return
+	}
 	if r.URL.Path != "/v1/vms" || r.Method != http.MethodGet {
 		http.NotFound(w, r)
 		return
--- a/peers/connections.go
+++ b/peers/connections.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"jackdawbarrow/wire"
@@ -37,7 +40,8 @@
 
 // connections caches one connection per address.
 type connections struct {
-	dial func(ctx context.Context, addr string) (net.Conn, error)
+	dial  func(ctx context.Context, addr string) (net.Conn, error)
+	creds credentials.TransportCredentials
 
 	mu     sync.Mutex
 	open   map[string]*connection
@@ -49,21 +53,32 @@
 	used time.Time
 }
 
-func newConnections(dial func(ctx context.Context, addr string) (net.Conn, error)) *connections {
+func newConnections(dial func(ctx context.Context, addr string) (net.Conn, error), localAddr string, cfg *tls.Config) *connections {
 	if dial == nil {
-		dial = dialTCP
+		dial = dialTCP(localAddr)
 	}
-	return &connections{dial: dial, open: map[string]*connection{}}
+	creds := insecure.NewCredentials()
+	if cfg != nil {
+		creds = credentials.NewTLS(cfg)
+	}
+	return &connections{dial: dial, creds: creds, open: map[string]*connection{}}
 }
 
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+// dialTCP returns a dialer whose connections leave from the IP of localAddr,
+// so that a VM with several addresses shows its peers the one it advertises.
+func dialTCP(localAddr string) func(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			// The option only shortens the detection of a dead peer.
 			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
 		})
 	}}
-	return d.DialContext(ctx, "tcp", addr)
+	if local, err := netip.ParseAddrPort(localAddr); err == nil && !local.Addr().IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: local.Addr().AsSlice()}
+	}
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", addr)
+	}
 }
 
 func (c *connections) client(addr string, now time.Time) (wire.PeerClient, error) {
@@ -91,7 +106,7 @@
 	redial := backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxRedialDelay}
 	return grpc.NewClient(
 		"passthrough:///"+addr,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithTransportCredentials(c.creds),
 		grpc.WithContextDialer(c.dial),
 		grpc.WithNoProxy(),
 		grpc.WithDisableRetry(),
--- a/peers/node.go
+++ b/peers/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"hash/maphash"
 	"io"
@@ -47,6 +48,9 @@
 	Log   logrus.FieldLogger
 	// Seed seeds the machine's random generator; 0 takes it from Self.
 	Seed uint64
+	// LocalAddr is the IP:port listened on; connections leave from its IP.
+	LocalAddr string
+	TLS       *tls.Config // of connections to other VMs; nil for plain TCP
 	// Dial connects to a peer address; nil uses TCP. Tests cut VMs off by it.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 }
@@ -93,7 +97,7 @@
 	n := &Node{
 		cfg:   cfg,
 		clock: newHybridClock(cfg.Clock),
-		conns: newConnections(cfg.Dial),
+		conns: newConnections(cfg.Dial, cfg.LocalAddr, cfg.TLS),
 		// A list on a connection of its own: the default client would use
 		// a proxy from the environment.
 		http: &http.Client{Timeout: listTimeout, Transport: &http.Transport{MaxIdleConns: 1}},
--- /dev/null
+++ b/serve/process.go
@@ -0,0 +1,248 @@
+package serve
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc"
+
+	"jackdawbarrow"
+	"jackdawbarrow/casc"
+	"jackdawbarrow/config"
+	"jackdawbarrow/engine"
+	"jackdawbarrow/entry"
+	"jackdawbarrow/events"
+	"jackdawbarrow/guard"
+	"jackdawbarrow/ledger"
+	"jackdawbarrow/loop"
+	"jackdawbarrow/owner"
+	"jackdawbarrow/peers"
+	"jackdawbarrow/spread"
+	"jackdawbarrow/store"
+)
+
+// incarnationBytes makes incarnations unique without coordination.
+const incarnationBytes = 8
+
+// Config configures a Process.
+type Config struct {
+	Settings config.Settings
+	Log      *logrus.Logger
+	// Trace, if set, takes the control events for replay.
+	Trace io.Writer
+}
+
+// Process is one running entry VM.
+type Process struct {
+	settings config.Settings
+	log      *logrus.Entry
+
+	loop   *loop.Loop
+	peers  *peers.Node
+	spread *spread.Node
+	owner  *owner.Node
+	guard  *guard.Node
+	casc   *casc.Node
+	ledger *ledger.Ledger
+	engine *engine.Client
+	entry  *entry.Entry
+	ring   *events.Ring
+	store  jdaw.Store
+
+	// lastStates and lastIsolated are what the time line knows of the member
+	// table; only the loop's goroutine uses them.
+	lastStates   map[jdaw.VMID]jdaw.MemberState
+	lastIsolated bool
+
+	grpc    *grpc.Server
+	servers []*http.Server
+	wg      conc.WaitGroup
+}
+
+// New starts a process. It returns when all addresses are being listened on;
+// the entry answers noConfiguration until a configuration has been read.
+func New(ctx context.Context, cfg Config) (*Process, error) {
+	if cfg.Log == nil {
+		cfg.Log = logrus.New()
+	}
+	p := &Process{settings: cfg.Settings}
+	p.log = cfg.Log.WithField("vm", string(cfg.Settings.VM))
+	l, err := p.listen()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.build(cfg); err != nil {
+		l.close()
+		return nil, err
+	}
+	if err := p.start(ctx, l); err != nil {
+		l.close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// Settings returns the settings with the ports that were chosen.
+func (p *Process) Settings() config.Settings { return p.settings }
+
+// build makes the slices and connects them. The order follows their needs:
+// peers before whatever sends messages, the ledger and the owner before the
+// entry.
+func (p *Process) build(cfg Config) error {
+	s := p.settings
+	kv, err := store.New(store.Config{Addresses: s.Store.Addresses})
+	if err != nil {
+		return err
+	}
+	p.store = kv
+	inc := jdaw.Incarnation(config.RandomHex(incarnationBytes))
+	if err := p.buildPeers(inc); err != nil {
+		return err
+	}
+	p.ring = events.NewRing(events.Config{VM: s.VM, Size: s.Limits.Events, Stamp: p.peers.Now, Incarnation: p.peers.Incarnation})
+	p.buildControl()
+	p.ledger = ledger.New(ledger.Config{
+		VM: s.VM, Incarnation: inc, Store: kv, Views: p.peers, Config: p.spread,
+		Client: p.peers.Client, Header: p.peers.Header, Recorder: p.ring, Log: p.log,
+		Renew: p.renewIncarnation,
+	})
+	if err := p.buildEntry(); err != nil {
+		return err
+	}
+	p.buildLoop(cfg)
+	return nil
+}
+
+// renewIncarnation is called when the journal of this process was sealed while
+// it was paused or cut off.
+func (p *Process) renewIncarnation(old jdaw.Incarnation) jdaw.Incarnation {
+	inc := jdaw.Incarnation(config.RandomHex(incarnationBytes))
+	p.log.WithFields(logrus.Fields{"old": old, "new": inc}).Warn("the journal was sealed by another VM; the process takes a new incarnation")
+	p.peers.SetIncarnation(inc)
+	return inc
+}
+
+func (p *Process) post(ev jdaw.Event) { p.loop.Post(ev) }
+
+func (p *Process) buildControl() {
+	s := p.settings
+	p.spread = spread.New(spread.Config{
+		Self: s.VM, Peers: p.peers, Store: p.store, Post: p.post, Log: p.log,
+	})
+	p.guard = guard.New(guard.Config{Suspend: p.suspend})
+	p.casc = casc.New(casc.Config{Post: p.post})
+	p.owner = owner.NewNode(owner.NodeConfig{
+		Self: s.VM, Views: p.peers, Configs: p.spread, Client: p.peers.Client, Header: p.peers.Header,
+		AwaitRevision: p.spread.AwaitRevision, Post: p.post, Outcomes: p.judgeCounts, Log: p.log,
+	})
+}
+
+func (p *Process) buildLoop(cfg Config) {
+	p.loop = loop.New(loop.Config{
+		Machines: []jdaw.Machine{
+			p.peers.Machine(),
+			p.spread.Machine(),
+			owner.New(owner.Config{Self: p.settings.VM, Incarnation: p.peers.Incarnation()}),
+			p.guard.Machine(),
+			p.casc.Machine(),
+		},
+		Execute: p.execute,
+	})
+}
+
+// execute gives an action to the slice that carries it out.
+func (p *Process) execute(a jdaw.Action) {
+	p.recordControl(a)
+	if p.peers.Execute(a) || p.spread.Execute(a) || p.owner.Execute(a) {
+		return
+	}
+	p.guard.Execute(a)
+	p.casc.Execute(a)
+}
+
+// Drain refuses new work after the entry list has had time to expire, waits
+// for the requests in progress and ends the process.
+func (p *Process) Drain(ctx context.Context) {
+	if err := p.entry.Drain(ctx); err != nil {
+		p.log.WithError(err).Warn("the drain ended before the last request")
+	}
+	p.Close()
+}
+
+// closeTimeout bounds the last write of the journal when the key-value
+// service is down; the copies on other VMs then hold what is not written.
+const closeTimeout = 5 * time.Second
+
+// Close ends the process without waiting for requests in progress.
+func (p *Process) Close() {
+	for _, srv := range p.servers {
+		_ = srv.Close() // the listeners are closed either way
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := p.ledger.Close(ctx); err != nil {
+		p.log.WithError(err).Warn("the journal could not be closed; other VMs will seal it")
+	}
+	p.owner.Close()
+	p.spread.Close()
+	p.grpc.Stop()
+	p.loop.Close()
+	p.peers.Close()
+	p.engine.Close()
+	p.wg.Wait()
+}
+
+// suspend is called on the loop's goroutine, which must not wait.
+func (p *Process) suspend(s jdaw.Suspension) {
+	p.log.WithFields(logrus.Fields{"kind": s.Kind, "name": s.Name, "reason": s.Reason}).Warn("suspended by the guard")
+	p.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		if _, err := p.spread.Suspend(ctx, s); err != nil {
+			p.log.WithError(err).Error("the suspension could not be spread")
+		}
+	})
+}
+
+func (p *Process) buildEntry() error {
+	meter, handler, err := newMeter()
+	if err != nil {
+		return err
+	}
+	p.engine = engine.New(engine.Config{})
+	s := p.settings
+	cfg := entry.Config{
+		VM: s.VM, DataCentre: s.DataCentre, Region: s.Region,
+		Credits: p.owner.Holder(), Ledger: p.ledger, Claims: p.ledger,
+		Engine: p.engine, Service: p.engine, Planner: p.casc, Learner: p.casc,
+		Views: p.peers, Config: p.spread, Recorder: p.ring, Meter: meter, Log: p.log,
+		IssueKey: p.ledger.IssueKey, VerifyKey: p.verifyKey, Forward: p.forward,
+		OnDrain: p.peers.Drain, MaxBodyBytes: s.Limits.BodyBytes,
+	}
+	if s.Ratings != "" {
+		cfg.Rater = engine.NewRater(p.engine, s.Ratings)
+	}
+	p.entry = entry.New(cfg)
+	p.servers = append(p.servers, newHTTPServer(callersHandler(p.entry.Handler(), handler)), newHTTPServer(p.adminHandler()))
+	return nil
+}
+
+// callersHandler adds /metrics to the callers' API.
+func callersHandler(api, metrics http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", metrics)
+	mux.Handle("/", api)
+	return mux
+}
+
+// headerTimeout bounds how long a connection may take to send its header, so
+// that slow clients do not use up connections.
+const headerTimeout = 10 * time.Second
+
+func newHTTPServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+}
