--- a/engine/chat.go
+++ b/engine/chat.go
@@ -25,6 +25,7 @@
 	s := &chatStream{client: c, ctx: ctx, address: address, requestID: q.RequestID}
 	if q.StreamID != "" {
 		s.id = q.StreamID
+		s.offset = q.StreamStart
 		s.next = q.Position
 		return s, s.reopen()
 	}
@@ -47,6 +48,9 @@
 	if isRefusal(resp) {
 		return nil, refusalOf(resp)
 	}
+	if isRejection(resp) {
+		return nil, jdaw.Fail(jdaw.CodeBadField, "the engine rejected the request: %s", errorText(resp))
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, jdaw.Fail(jdaw.CodeUpstreamFailed, "%s answered status %d: %s", resp.Request.URL.Host, resp.StatusCode, errorText(resp))
 	}
--- a/engine/client.go
+++ b/engine/client.go
@@ -138,6 +138,16 @@
 	return resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusNotFound
 }
 
+// isRejection reports whether the engine found the request invalid without
+// running it. This must not count as a failure of the version, or one caller's
+// bad requests would get a version suspended.
+func isRejection(resp *http.Response) bool {
+	if resp.Header.Get(headerNotRun) != "true" {
+		return false
+	}
+	return resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusUnprocessableEntity
+}
+
 func refusalOf(resp *http.Response) error {
 	text := errorText(resp)
 	return &refusal{
--- a/traffic.go
+++ b/traffic.go
@@ -171,6 +171,9 @@
 	Body      []byte // the caller's JSON body
 	Priority  Priority
 	StreamID  string // of a stream to resume; empty for a new one
+	// StreamStart is the position of the first chunk of the stream to resume;
+	// it is above 0 if that stream continued an earlier one.
+	StreamStart int
 	// Position is the number of chunks already delivered.
 	Position int
 	// Text is the answer so far, for continuing on another upstream.
