--- a/traffic.go
+++ b/traffic.go
@@ -266,12 +266,15 @@
 
 // StepOutcome is the result of one step of a cascade.
 type StepOutcome struct {
-	Workspace WorkspaceID   `json:"workspace"`
-	Task      string        `json:"task"`
-	Model     string        `json:"model"`
-	Rated     bool          `json:"rated"`
-	Rating    float64       `json:"rating"`
-	Accepted  bool          `json:"accepted"` // the rating reached the target
+	Workspace WorkspaceID `json:"workspace"`
+	Task      string      `json:"task"`
+	Model     string      `json:"model"`
+	Rated     bool        `json:"rated"`
+	Rating    float64     `json:"rating"`
+	Accepted  bool        `json:"accepted"` // the rating reached the target
+	// Escalated is set if the answer of a cheaper model was rejected before.
+	// Such requests are harder than the average, so they are counted apart.
+	Escalated bool          `json:"escalated,omitempty"`
 	Duration  time.Duration `json:"duration"`
 	Tokens    int           `json:"tokens"`
 }
