Add the guard that suspends bad versions in a roll-out

Cause: no VM sees enough requests of a new version to judge it, and an operator is too slow to stop one that fails half of them.

Change: package guard adds up cumulative counts of the pool owners at one judge per version and runs two sequential tests, on failures and on ratings against the stable version, as mixtures over the point at which the version turned bad. Stalled roll-outs and sound ones are reported as proposals and in Status.

--- /dev/null
+++ b/guard/events.go
@@ -0,0 +1,124 @@
+package guard
+
+import (
+	"math"
+	"time"
+
+	"jackdawbarrow"
+)
+
+// Counts is the event of a report by a pool owner: what one owner incarnation
+// has counted of one version in one pool since it started counting.
+type Counts struct {
+	Version          jdaw.ModelVersion `json:"version"`
+	Pool             jdaw.PoolID       `json:"pool"`
+	OwnerIncarnation jdaw.Incarnation  `json:"ownerIncarnation"`
+	OK               uint64            `json:"ok"`
+	Failed           uint64            `json:"failed"`
+	Rated            uint64            `json:"rated"`
+	RatingSum        float64           `json:"ratingSum"`
+	RatingSquareSum  float64           `json:"ratingSquareSum"`
+}
+
+// EventName implements [jdaw.Event].
+func (Counts) EventName() string { return "versionCounts" }
+
+// isValid reports whether the counts can be those of ratings within 0..1. One
+// wrong report must not suspend a version.
+func (c Counts) isValid() bool {
+	// The sums are added up from rounded values.
+	const tolerance = 1e-6
+	n := float64(c.Rated) + tolerance
+	isFinite := !math.IsNaN(c.RatingSum) && !math.IsNaN(c.RatingSquareSum)
+	return isFinite && c.RatingSum >= 0 && c.RatingSum <= n &&
+		c.RatingSquareSum >= 0 && c.RatingSquareSum <= c.RatingSum+tolerance
+}
+
+// Suspend is the action that asks for a suspension.
+type Suspend struct {
+	Suspension jdaw.Suspension `json:"suspension"`
+}
+
+// ActionName implements [jdaw.Action].
+func (Suspend) ActionName() string { return "suspend" }
+
+// ActionFields returns the key fields for a log of actions.
+func (s Suspend) ActionFields() map[string]string {
+	return map[string]string{
+		"id":     s.Suspension.ID,
+		"kind":   string(s.Suspension.Kind),
+		"name":   s.Suspension.Name,
+		"reason": s.Suspension.Reason,
+	}
+}
+
+// ProposalKind says what an operator is asked to consider.
+type ProposalKind string
+
+// Kinds of proposals.
+const (
+	ProposeRaise   ProposalKind = "raise"   // the version is sound at this share
+	ProposeInspect ProposalKind = "inspect" // the roll-out makes no progress
+)
+
+// Proposal is the action that tells operators what they may decide; nothing
+// happens unless they do.
+type Proposal struct {
+	Version jdaw.ModelVersion `json:"version"`
+	Kind    ProposalKind      `json:"kind"`
+	Text    string            `json:"text"`
+}
+
+// ActionName implements [jdaw.Action].
+func (Proposal) ActionName() string { return "proposal" }
+
+// ActionFields returns the key fields for a log of actions.
+func (p Proposal) ActionFields() map[string]string {
+	return map[string]string{"version": p.Version.String(), "kind": string(p.Kind), "text": p.Text}
+}
+
+// State is the state of a roll-out as the guard sees it.
+type State string
+
+// States of a roll-out.
+const (
+	StateTesting   State = "testing"   // not yet decided
+	StateHealthy   State = "healthy"   // the failure test has accepted the version
+	StateStalled   State = "stalled"   // no progress for the stall time
+	StateSuspended State = "suspended" // withdrawn or suspended
+	StateElsewhere State = "elsewhere" // another VM is the judge
+)
+
+// Status is what the administration API shows of one roll-out. The counts are
+// those that this VM has received; the judge has all of the region.
+type Status struct {
+	Version      jdaw.ModelVersion `json:"version"`
+	Stable       jdaw.ModelVersion `json:"stable"`
+	State        State             `json:"state"`
+	Judge        jdaw.VMID         `json:"judge"`
+	OK           uint64            `json:"ok"`
+	Failed       uint64            `json:"failed"`
+	Rated        uint64            `json:"rated"`
+	MeanRating   float64           `json:"meanRating"`
+	StableRated  uint64            `json:"stableRated"`
+	StableRating float64           `json:"stableRating"`
+	ProgressAt   time.Time         `json:"progressAt"` // last outcome or change by an operator
+	Text         string            `json:"text"`
+}
+
+// Publish is the action that puts a new list of statuses in force.
+type Publish struct {
+	Statuses []Status `json:"statuses"`
+}
+
+// ActionName implements [jdaw.Action].
+func (Publish) ActionName() string { return "publishRollouts" }
+
+// ActionFields returns the state of each version for a log of actions.
+func (p Publish) ActionFields() map[string]string {
+	fields := map[string]string{}
+	for _, s := range p.Statuses {
+		fields[s.Version.String()] = string(s.State)
+	}
+	return fields
+}
--- /dev/null
+++ b/guard/judge.go
@@ -0,0 +1,53 @@
+package guard
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"jackdawbarrow"
+	"jackdawbarrow/config"
+)
+
+// Judge returns the member that decides about a version: the first by
+// rendezvous hash over the serving members of the region. Regions judge on
+// their own, because they may lose contact with each other.
+func Judge(view *jdaw.View, region jdaw.Region, version jdaw.ModelVersion) (jdaw.Member, bool) {
+	var best jdaw.Member
+	var highest uint64
+	found := false
+	for _, m := range view.Members {
+		if !m.IsServing() || m.Region != region {
+			continue
+		}
+		h := xxhash.Sum64String(string(m.VM) + "\x00" + version.String())
+		if !found || h > highest || (h == highest && m.VM < best.VM) {
+			best, highest, found = m, h, true
+		}
+	}
+	return best, found
+}
+
+// Watch is a version in roll-out with the version that it is compared to. Pool
+// owners report the counts of both to the judge of Version.
+type Watch struct {
+	Rollout config.Rollout
+	Version jdaw.ModelVersion
+	Stable  jdaw.ModelVersion
+}
+
+// Watches returns the roll-outs of a configuration in its order. The stable
+// version is the model's first active one; it may be missing.
+func Watches(snap *config.Snapshot) []Watch {
+	var out []Watch
+	for _, r := range snap.Doc.Rollouts {
+		w := Watch{Rollout: r, Version: jdaw.ModelVersion{Model: r.Model, Version: r.Version}}
+		m, _ := snap.Model(r.Model)
+		for _, v := range m.Versions {
+			if v.State == config.VersionActive && v.Name != r.Version {
+				w.Stable = jdaw.ModelVersion{Model: r.Model, Version: v.Name}
+				break
+			}
+		}
+		out = append(out, w)
+	}
+	return out
+}
--- /dev/null
+++ b/guard/machine.go
@@ -0,0 +1,363 @@
+package guard
+
+import (
+	"container/list"
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"jackdawbarrow"
+	"jackdawbarrow/config"
+)
+
+// False-alarm rates per roll-out, over all regions. They add up to 0.01. The
+// rating test gets the larger part because it needs by far more requests: with
+// equal parts it took up to 433 for a drop of 0.10, the failure test up to 34.
+const (
+	failureAlarmRate = 0.0025
+	ratingAlarmRate  = 0.0075
+)
+
+// Defaults of MachineConfig.
+const (
+	defaultStallAfter = 15 * time.Minute
+	defaultPublish    = time.Second
+	// defaultMaxSources bounds the reports that are remembered: 5 data centres,
+	// 6 models and versions and 100 owners one after the other fit.
+	defaultMaxSources = 4096
+)
+
+// askAgain is the time after which a suspension that is not in force is asked
+// for again. Suspensions spread within fractions of a second.
+const askAgain = 5 * time.Second
+
+// operator is the name under which the guard suspends versions.
+const operator = "guard"
+
+// MachineConfig configures a Machine. Zero values take the defaults.
+type MachineConfig struct {
+	StallAfter time.Duration // time without progress after which a roll-out is stalled
+	Publish    time.Duration // shortest time between two lists of statuses
+	MaxSources int
+}
+
+// Machine judges roll-outs. It implements [jdaw.Machine].
+type Machine struct {
+	cfg         MachineConfig
+	view        *jdaw.View
+	snap        *config.Snapshot
+	last        map[source]*list.Element // of *report
+	recent      *list.List               // reports, the latest first
+	totals      map[jdaw.ModelVersion]Counts
+	trials      []*trial
+	dirty       bool
+	publishedAt time.Time
+}
+
+// source is one counter of one owner.
+type source struct {
+	version     jdaw.ModelVersion
+	pool        jdaw.PoolID
+	incarnation jdaw.Incarnation
+}
+
+// report is the last one of a source.
+type report struct {
+	source source
+	counts Counts
+}
+
+// trial is the test of one roll-out.
+type trial struct {
+	watch      Watch
+	failures   evidence
+	ratings    ratingEvidence
+	logRatio   float64 // plain ratio test, for the proposal to raise the share
+	pending    ratings // wait for the stable mean
+	ok, failed uint64
+	rated      ratings
+	changedAt  time.Time // by an operator
+	outcomeAt  time.Time
+	withdrawn  bool
+	asked      *jdaw.Suspension // asked for
+	askedAt    time.Time
+	raised     bool // proposed at this share
+	inspected  bool // proposed since the last progress
+}
+
+// NewMachine returns a machine without roll-outs.
+func NewMachine(cfg MachineConfig) *Machine {
+	if cfg.StallAfter == 0 {
+		cfg.StallAfter = defaultStallAfter
+	}
+	if cfg.Publish == 0 {
+		cfg.Publish = defaultPublish
+	}
+	if cfg.MaxSources == 0 {
+		cfg.MaxSources = defaultMaxSources
+	}
+	return &Machine{cfg: cfg, last: map[source]*list.Element{}, recent: list.New(), totals: map[jdaw.ModelVersion]Counts{}}
+}
+
+// Handle implements [jdaw.Machine].
+func (m *Machine) Handle(at time.Time, ev jdaw.Event) []jdaw.Action {
+	switch ev := ev.(type) {
+	case jdaw.ViewChanged:
+		m.view = ev.View
+		m.dirty = true
+		return m.decideAll(at)
+	case config.Adopted:
+		m.adopt(at, ev.Snapshot)
+	case Counts:
+		return m.count(at, ev)
+	case jdaw.Tick:
+		return m.tick(at)
+	}
+	return nil
+}
+
+// adopt keeps the trials that go on and drops the counts of versions that are
+// no longer watched.
+func (m *Machine) adopt(at time.Time, snap *config.Snapshot) {
+	m.snap = snap
+	m.dirty = true
+	var trials []*trial
+	for _, w := range Watches(snap) {
+		trials = append(trials, m.resume(at, w))
+	}
+	m.trials = trials
+	m.forget()
+}
+
+// resume returns the trial of a roll-out. A roll-out that was started anew, a
+// lifted suspension or another stable version starts a new test; counts from
+// before do not enter it, because an operator has decided with their knowledge.
+func (m *Machine) resume(at time.Time, w Watch) *trial {
+	withdrawn := m.snap.IsWithdrawn(w.Version)
+	t := m.trialOf(w.Version)
+	if t == nil || !t.watch.Rollout.StartedAt.Equal(w.Rollout.StartedAt) || t.watch.Stable != w.Stable || (t.withdrawn && !withdrawn) {
+		return &trial{watch: w, changedAt: at, outcomeAt: at, withdrawn: withdrawn}
+	}
+	if t.watch.Rollout != w.Rollout || t.withdrawn != withdrawn {
+		t.changedAt = at
+		t.raised = false
+		t.inspected = false
+	}
+	t.watch = w
+	t.withdrawn = withdrawn
+	return t
+}
+
+func (m *Machine) trialOf(v jdaw.ModelVersion) *trial {
+	for _, t := range m.trials {
+		if t.watch.Version == v {
+			return t
+		}
+	}
+	return nil
+}
+
+func (m *Machine) isWatched(v jdaw.ModelVersion) bool {
+	for _, t := range m.trials {
+		if t.watch.Version == v || t.watch.Stable == v {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) forget() {
+	for el := m.recent.Front(); el != nil; {
+		next := el.Next()
+		if src := el.Value.(*report).source; !m.isWatched(src.version) {
+			m.recent.Remove(el)
+			delete(m.last, src)
+			delete(m.totals, src.version)
+		}
+		el = next
+	}
+}
+
+// count adds what is new in a report. Reports of versions that are not watched
+// yet are ignored; being cumulative, the next one brings the same again.
+func (m *Machine) count(at time.Time, c Counts) []jdaw.Action {
+	if !m.isWatched(c.Version) || !c.isValid() {
+		return nil
+	}
+	added, ok := m.delta(c)
+	if !ok {
+		return nil
+	}
+	m.dirty = true
+	m.totals[c.Version] = added.addedTo(m.totals[c.Version])
+	var actions []jdaw.Action
+	for _, t := range m.trials {
+		if t.watch.Version == c.Version {
+			t.add(at, added)
+		}
+		if t.watch.Version == c.Version || t.watch.Stable == c.Version {
+			t.testRatings(m.totals[t.watch.Stable].ratings())
+			actions = append(actions, m.decide(at, t)...)
+		}
+	}
+	return actions
+}
+
+// delta returns what the report adds to the last one of its source. A report
+// with a lower count was overtaken by a later one.
+func (m *Machine) delta(c Counts) (Counts, bool) {
+	last := m.lastOf(source{version: c.Version, pool: c.Pool, incarnation: c.OwnerIncarnation})
+	old := last.counts
+	if c.OK < old.OK || c.Failed < old.Failed || c.Rated < old.Rated {
+		return Counts{}, false
+	}
+	if c.OK == old.OK && c.Failed == old.Failed && c.Rated == old.Rated {
+		return Counts{}, false
+	}
+	last.counts = c
+	added := c
+	added.OK -= old.OK
+	added.Failed -= old.Failed
+	added.Rated -= old.Rated
+	added.RatingSum -= old.RatingSum
+	added.RatingSquareSum -= old.RatingSquareSum
+	return added, true
+}
+
+// lastOf returns the last report of a source. Beyond the bound it drops the
+// source that has been silent longest, which is one of an owner that is gone.
+func (m *Machine) lastOf(s source) *report {
+	if el, ok := m.last[s]; ok {
+		m.recent.MoveToFront(el)
+		return el.Value.(*report)
+	}
+	r := &report{source: s}
+	m.last[s] = m.recent.PushFront(r)
+	if m.recent.Len() > m.cfg.MaxSources {
+		oldest := m.recent.Back()
+		m.recent.Remove(oldest)
+		delete(m.last, oldest.Value.(*report).source)
+	}
+	return r
+}
+
+func (c Counts) addedTo(total Counts) Counts {
+	total.OK += c.OK
+	total.Failed += c.Failed
+	total.Rated += c.Rated
+	total.RatingSum += c.RatingSum
+	total.RatingSquareSum += c.RatingSquareSum
+	return total
+}
+
+func (c Counts) ratings() ratings {
+	return ratings{n: float64(c.Rated), sum: c.RatingSum, squares: c.RatingSquareSum}
+}
+
+func (t *trial) add(at time.Time, c Counts) {
+	t.outcomeAt = at
+	t.inspected = false
+	t.ok += c.OK
+	t.failed += c.Failed
+	ratio := float64(c.Failed)*failedRatio + float64(c.OK)*okRatio
+	t.failures.add(float64(c.OK+c.Failed), ratio)
+	t.logRatio += ratio
+	t.rated = t.rated.plus(c.ratings())
+	t.pending = t.pending.plus(c.ratings())
+}
+
+// testRatings compares the ratings that wait with the stable version's.
+func (t *trial) testRatings(stable ratings) {
+	if t.pending.n == 0 || stable.n < minStableRated {
+		return
+	}
+	t.ratings.add(t.pending, stable.leastMean(), stable.mean())
+	t.pending = ratings{}
+}
+
+func (m *Machine) decideAll(at time.Time) []jdaw.Action {
+	var actions []jdaw.Action
+	for _, t := range m.trials {
+		actions = append(actions, m.decide(at, t)...)
+	}
+	return actions
+}
+
+// decide emits the suspension of a bad version and the proposal to raise the
+// share of a sound one, if this VM is the judge.
+func (m *Machine) decide(at time.Time, t *trial) []jdaw.Action {
+	if t.withdrawn || t.asked != nil || !m.isJudge(t) {
+		return nil
+	}
+	if reason := m.fault(t); reason != "" {
+		t.asked = &jdaw.Suspension{
+			ID:       operator + "-" + t.watch.Version.String() + "-" + strconv.FormatInt(at.UnixNano(), 36),
+			Kind:     jdaw.SuspendVersion,
+			Name:     t.watch.Version.String(),
+			Operator: operator,
+			Reason:   reason,
+			At:       at,
+		}
+		t.askedAt = at
+		return []jdaw.Action{Suspend{Suspension: *t.asked}}
+	}
+	if t.logRatio > healthyLog || t.raised || t.watch.Rollout.State != config.RolloutRunning {
+		return nil
+	}
+	t.raised = true
+	return []jdaw.Action{Proposal{Version: t.watch.Version, Kind: ProposeRaise, Text: fmt.Sprintf(
+		"%s has answered %d requests and failed %d; its share of %g %% may be raised.",
+		t.watch.Version, t.ok, t.failed, t.watch.Rollout.SharePercent)}}
+}
+
+// repeat asks again, under the same id, for a suspension that did not take
+// effect.
+func (t *trial) repeat(at time.Time) []jdaw.Action {
+	if t.asked == nil || t.withdrawn || at.Sub(t.askedAt) < askAgain {
+		return nil
+	}
+	t.askedAt = at
+	return []jdaw.Action{Suspend{Suspension: *t.asked}}
+}
+
+// fault returns the reason to suspend the version, or nothing.
+func (m *Machine) fault(t *trial) string {
+	regions := float64(m.regions())
+	if t.failures.log() >= -math.Log(failureAlarmRate/regions) {
+		return fmt.Sprintf("%s failed %d of %d requests, more than a sound version that fails at most %g %%.",
+			t.watch.Version, t.failed, t.ok+t.failed, soundFailureRate*100)
+	}
+	if t.ratings.log() >= -math.Log(ratingAlarmRate/regions) {
+		stable := m.totals[t.watch.Stable].ratings()
+		return fmt.Sprintf("%s is rated %.3f over %d ratings, below the %.3f of %s over %d ratings.",
+			t.watch.Version, t.rated.mean(), int(t.rated.n), stable.mean(), t.watch.Stable, int(stable.n))
+	}
+	return ""
+}
+
+// regions returns the number of regions, each of which judges on its own and
+// takes its share of the false-alarm rate.
+func (m *Machine) regions() int {
+	seen := map[jdaw.Region]bool{}
+	for _, dc := range m.snap.Doc.DataCentres {
+		seen[dc.Region] = true
+	}
+	return max(len(seen), 1)
+}
+
+func (m *Machine) judgeOf(t *trial) (jdaw.VMID, bool) {
+	if m.view == nil {
+		return "", false
+	}
+	self, _ := m.view.Member(m.view.Self)
+	judge, ok := Judge(m.view, self.Region, t.watch.Version)
+	return judge.VM, ok
+}
+
+// isJudge is false on an isolated VM: its view is its own only, and the other
+// VMs have chosen another judge.
+func (m *Machine) isJudge(t *trial) bool {
+	judge, ok := m.judgeOf(t)
+	return ok && judge == m.view.Self && !m.view.Isolated
+}
--- /dev/null
+++ b/guard/node.go
@@ -0,0 +1,50 @@
+package guard
+
+import (
+	"sync/atomic"
+
+	"jackdawbarrow"
+)
+
+// Config configures a Node.
+type Config struct {
+	Machine MachineConfig
+	// Suspend puts a suspension in force on all VMs. It must not block.
+	Suspend func(jdaw.Suspension)
+	// Propose, if set, shows a proposal to operators. It must not block.
+	Propose func(Proposal)
+}
+
+// Node connects the machine with the rest of the process.
+type Node struct {
+	cfg      Config
+	machine  *Machine
+	statuses atomic.Pointer[[]Status]
+}
+
+// New returns a node without roll-outs.
+func New(cfg Config) *Node {
+	n := &Node{cfg: cfg, machine: NewMachine(cfg.Machine)}
+	n.statuses.Store(&[]Status{})
+	return n
+}
+
+// Machine returns the machine for the control loop.
+func (n *Node) Machine() jdaw.Machine { return n.machine }
+
+// Status returns the roll-outs as last published; callers must not change it.
+func (n *Node) Status() []Status { return *n.statuses.Load() }
+
+// Execute carries out the actions of the machine and ignores all others.
+func (n *Node) Execute(a jdaw.Action) {
+	switch a := a.(type) {
+	case Suspend:
+		n.cfg.Suspend(a.Suspension)
+	case Proposal:
+		if n.cfg.Propose != nil {
+			n.cfg.Propose(a)
+		}
+	case Publish:
+		n.statuses.Store(&a.Statuses)
+	}
+}
