--- a/demo/caller.go
+++ b/demo/caller.go
@@ -21,6 +21,9 @@
 // may be repeated is sent once more, to another address.
 type Caller struct {
 	HTTP *http.Client
+	// Fixed keeps the caller at the addresses it was given, without asking
+	// for the entry list.
+	Fixed bool
 
 	mu      sync.Mutex
 	known   []string // all addresses ever heard of, for when the list is stale
@@ -106,7 +109,7 @@
 func (c *Caller) entry(ctx context.Context) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Now().After(c.until) || len(c.entries) == 0 {
+	if !c.Fixed && (time.Now().After(c.until) || len(c.entries) == 0) {
 		c.refresh(ctx)
 	}
 	list := c.entries
--- a/demo/work.go
+++ b/demo/work.go
@@ -61,7 +61,7 @@
 func (g *Work) summary(q Request, w jdaw.WorkspaceID) Job {
 	q.Outlet, q.Stream, q.Repeatable = "office", true, true
 	q.Path = "/v1/chat/completions"
-	q.Body = chatBody("cascade", true, rulebook(string(w)), fmt.Sprintf("Draft the scoring summary of heat %d.", g.n))
+	q.Body = ChatBody("cascade", true, rulebook(string(w)), fmt.Sprintf("Draft the scoring summary of heat %d.", g.n))
 	return Job{Kind: "scoring summary", Request: q}
 }
 
@@ -69,7 +69,7 @@
 func (g *Work) question(q Request) Job {
 	q.Stream, q.Repeatable = true, true
 	q.Path = "/v1/chat/completions"
-	q.Body = chatBody(g.shape.Models[0].Name, true, "Answer visitors in one sentence.", fmt.Sprintf("When does heat %d begin?", g.n))
+	q.Body = ChatBody(g.shape.Models[0].Name, true, "Answer visitors in one sentence.", fmt.Sprintf("When does heat %d begin?", g.n))
 	return Job{Kind: "visitor question", Request: q}
 }
 
@@ -99,7 +99,8 @@
 	Messages []chatMessage `json:"messages"`
 }
 
-func chatBody(model string, stream bool, system, user string) []byte {
+// ChatBody makes the body of a chat request.
+func ChatBody(model string, stream bool, system, user string) []byte {
 	b, err := json.Marshal(chatCall{
 		Model: model, Stream: stream,
 		Messages: []chatMessage{{Role: "system", Content: system}, {Role: "user", Content: user}},
