--- a/peers/doc.go
+++ b/peers/doc.go
@@ -13,15 +13,17 @@
 // # Usage
 //
 //	var l *loop.Loop
+//	ready := make(chan struct{}) // the loop may act before New has returned
 //	n := peers.New(peers.Config{
 //		Self:    jdaw.Member{VM: "entry1", Incarnation: inc, DataCentre: "oban", ...},
 //		ListURL: "http://127.0.0.1:7900",
-//		Post:    func(ev jdaw.Event) { l.Post(ev) },
+//		Post:    func(ev jdaw.Event) { <-ready; l.Post(ev) },
 //	})
 //	l = loop.New(loop.Config{
 //		Machines: []jdaw.Machine{n.Machine()},
 //		Execute:  func(a jdaw.Action) { n.Execute(a) },
 //	})
+//	close(ready)
 //
 // A message to another VM is sent with [Node.Client] and carries
 // [Node.Header]; the header of each message received goes to [Node.Observe].
--- a/peers/machine_test.go
+++ b/peers/machine_test.go
@@ -175,8 +175,10 @@
 	s := newScript("b", "c")
 	s.run(2 * time.Second)
 	before := s.at
-	s.at = s.at.Add(5 * time.Second)
-	s.m.Handle(s.at, jdaw.Tick{Gap: 5 * time.Second})
+	// The last contact was 1.45 s ago, so that only the gap isolates.
+	const gap = 1050 * time.Millisecond
+	s.at = s.at.Add(gap)
+	s.m.Handle(s.at, jdaw.Tick{Gap: gap})
 	s.m.Handle(s.at, Probed{Target: "b", Sender: "b", SentAt: before, OK: true})
 	if !s.m.view().Isolated {
 		t.Fatal("the answer to an old probe ended the isolation")
--- a/peers/node_test.go
+++ b/peers/node_test.go
@@ -54,15 +54,17 @@
 
 // vm is one VM on loopback whose network can be cut.
 type vm struct {
-	id    jdaw.VMID
-	addr  string
-	node  *peers.Node
-	loop  *loop.Loop
-	grpc  *grpc.Server
-	cut   atomic.Bool
-	mu    sync.Mutex
-	conns []net.Conn
-	stop  sync.Once
+	id   jdaw.VMID
+	addr string
+	node *peers.Node
+	loop *loop.Loop
+	grpc *grpc.Server
+	cut  atomic.Bool
+	// isolations counts the views in which the VM was isolated.
+	isolations atomic.Int32
+	mu         sync.Mutex
+	conns      []net.Conn
+	stop       sync.Once
 }
 
 // Accept filters the connections that arrive.
@@ -132,18 +134,28 @@
 		t.Fatal(err)
 	}
 	v := &vm{id: jdaw.VMID(id), addr: lis.Addr().String(), grpc: grpc.NewServer()}
+	ready := make(chan struct{}) // the loop may act before New has returned
 	v.node = peers.New(peers.Config{
 		Self: jdaw.Member{
 			VM: v.id, Incarnation: jdaw.Incarnation("inc-" + id + v.addr), DataCentre: "oban",
 			Region: "scot-west", PeerAddr: v.addr, EntryAddr: "http://127.0.0.1:1",
 		},
 		Seeds: seeds, ListURL: listURL, Dial: v.dial,
-		Post: func(ev jdaw.Event) { v.loop.Post(ev) },
+		Post: func(ev jdaw.Event) {
+			<-ready
+			v.loop.Post(ev)
+		},
 	})
 	v.loop = loop.New(loop.Config{
 		Machines: []jdaw.Machine{v.node.Machine(), pauser{}},
-		Execute:  func(a jdaw.Action) { v.node.Execute(a) },
+		Execute: func(a jdaw.Action) {
+			if c, ok := a.(jdaw.ViewChanged); ok && c.View.Isolated {
+				v.isolations.Add(1)
+			}
+			v.node.Execute(a)
+		},
 	})
+	close(ready)
 	wire.RegisterPeerServer(v.grpc, server{n: v.node})
 	go func() { _ = v.grpc.Serve(filter{Listener: lis, v: v}) }()
 	t.Cleanup(v.close)
@@ -230,20 +242,11 @@
 // Guards against a paused VM that works on with an old view.
 func TestPausedLoopIsolatesItself(t *testing.T) {
 	vms := startVMs(t, 3)
-	var wasIsolated atomic.Bool
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for i := 0; i < 4000 && !wasIsolated.Load(); i++ {
-			wasIsolated.Store(vms[1].node.View().Isolated)
-			time.Sleep(time.Millisecond)
-		}
-	}()
+	before := vms[1].isolations.Load()
 	vms[1].loop.Post(pause{d: 1500 * time.Millisecond})
-	<-done
-	if !wasIsolated.Load() {
-		t.Fatal("the VM was not isolated after a pause of 1.5 s")
-	}
+	// The isolation ends with the first answered probe, within a millisecond
+	// on loopback, so the views are counted and not polled.
+	within(t, 2*time.Second, "the VM isolates itself", func() bool { return vms[1].isolations.Load() > before })
 	within(t, 2*time.Second, "the isolation ends", func() bool { return !vms[1].node.View().Isolated })
 }
 
