--- a/owner/machine_test.go
+++ b/owner/machine_test.go
@@ -581,6 +581,40 @@
 	d.mustGrant(urgent)
 }
 
+// Guards against a workspace that gets more than its weight because it has
+// more requests waiting.
+func TestWeightsShareShortCredits(t *testing.T) {
+	doc := document(1)
+	doc.Upstreams[0].MaxConcurrent = 2
+	doc.Workspaces[1].Weight = 3
+	d := startedOwner(t, doc)
+	d.fill(2)
+	workspace := map[uint64]jdaw.WorkspaceID{}
+	wait := func(n int, id jdaw.WorkspaceID) {
+		for range n {
+			workspace[d.request(func(q *owner.AcquireRequested) { q.Workspace = id })] = id
+		}
+	}
+	wait(100, "a")
+	wait(60, "b")
+	wait(30, "c")
+	got := map[jdaw.WorkspaceID]int{}
+	for range 50 {
+		d.release(sortedOpen(d)[0], jdaw.OutcomeUnused, nil)
+	}
+	for ticket := range d.grants {
+		if id, ok := workspace[ticket]; ok {
+			got[id]++
+		}
+	}
+	// The order of equal tags moves a share by at most one.
+	for id, want := range map[jdaw.WorkspaceID]int{"a": 10, "b": 30, "c": 10} {
+		if got[id] < want-1 || got[id] > want+1 {
+			t.Errorf("50 credits were shared as %v, want a 10, b 30, c 10", got)
+		}
+	}
+}
+
 // Guards against events that cannot be recorded: each one must come back
 // from JSON as it was.
 func TestEventsSurviveJSON(t *testing.T) {
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -112,20 +112,28 @@
 }
 
 // next returns the workspace with the lowest start tag that has waiters and
-// was not tried in this round, or nil.
+// was not tried in this round, or nil. Of equal tags the shorter queue is
+// first: it belongs to a workspace that has just become active.
 func (q *queue) next() *flow {
 	var best *flow
 	for _, f := range q.flows {
 		if len(f.waiters) == 0 || f.tried {
 			continue
 		}
-		if best == nil || f.start < best.start {
+		if best == nil || f.before(best) {
 			best = f
 		}
 	}
 	return best
 }
 
+func (f *flow) before(o *flow) bool {
+	if f.start != o.start {
+		return f.start < o.start
+	}
+	return len(f.waiters) < len(o.waiters)
+}
+
 // ahead estimates how many requests are served before the one at position pos
 // of the flow: those before it, and the fair share of each other workspace
 // while they are served.
