--- a/config/change.go
+++ b/config/change.go
@@ -116,19 +116,7 @@
 	if faults := next.Check(); len(faults) > 0 {
 		return Document{}, jdaw.Fail(jdaw.CodeInvalidChange, "%s", faults.Err().Error())
 	}
-	return next.WithRecord(c, at), nil
-}
-
-// WithRecord returns a copy with its revision raised by one and the change
-// recorded.
-func (d Document) WithRecord(c Change, at time.Time) Document {
-	d.Revision++
-	record := ChangeRecord{ID: c.ID, Operator: c.Operator, Revision: d.Revision, Objects: c.ObjectNames(), At: at.UTC()}
-	d.Changes = append(append([]ChangeRecord(nil), d.Changes...), record)
-	if extra := len(d.Changes) - maxChangeRecords; extra > 0 {
-		d.Changes = d.Changes[extra:]
-	}
-	return d
+	return next.WithRecord(ChangeRecord{ID: c.ID, Operator: c.Operator, Objects: c.ObjectNames(), At: at.UTC()}), nil
 }
 
 func (d Document) clone() (Document, error) {
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -50,7 +50,7 @@
 	// ResumeFor is how long a stream without a reader keeps running; 0 means 2 s.
 	ResumeFor time.Duration
 	Seed      uint64
-	Clock     func() time.Time
+	Clock     func() time.Time `json:"-"`
 }
 
 // Break says at which point of a request the engine closes the connection.
--- a/fakes/plain.go
+++ b/fakes/plain.go
@@ -15,7 +15,7 @@
 	Capacity  int    // 0 means 8; more calls at a time are refused
 	Delay     time.Duration
 	ReportLag time.Duration
-	Clock     func() time.Time
+	Clock     func() time.Time `json:"-"`
 }
 
 // PlainFault is the body of POST /fake/fault. It replaces the faults in force.
--- a/owner/sim_test.go
+++ b/owner/sim_test.go
@@ -317,13 +317,13 @@
 }
 
 // load sends requests of all VMs at the rate until the end.
-func (s *sim) load(perSecond float64, end time.Duration, make func() (int, owner.AcquireRequested, time.Duration), done func(q owner.AcquireRequested, first time.Duration, refused *owner.Refuse)) {
+func (s *sim) load(perSecond float64, end time.Duration, draw func() (int, owner.AcquireRequested, time.Duration), done func(q owner.AcquireRequested, first time.Duration, refused *owner.Refuse)) {
 	var next func()
 	next = func() {
 		if s.now.After(epoch.Add(end)) {
 			return
 		}
-		i, q, d := make()
+		i, q, d := draw()
 		s.request(i, q, d, func(first time.Duration, refused *owner.Refuse) { done(q, first, refused) })
 		s.after(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
--- a/serve/process.go
+++ b/serve/process.go
@@ -141,7 +141,7 @@
 	})
 }
 
-func (p *Process) buildLoop(cfg Config) {
+func (p *Process) buildLoop(_ Config) {
 	p.loop = loop.New(loop.Config{
 		Machines: []jdaw.Machine{
 			p.peers.Machine(),
