Add replay of recorded traces with stated outcomes

Cause: a decision of the control machines that went wrong in service has to be repeatable, and a change must not alter decisions unnoticed.

Change: package replay reads a trace of events, feeds it to machines and checks their actions against a YAML list of outcomes. Recorder writes such a trace from a running loop and leaves keys and tokens out.

--- a/casc/measure_test.go
+++ b/casc/measure_test.go
@@ -1,16 +1,23 @@
 package casc_test
 
 import (
+	"bytes"
+	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"os"
+	"runtime"
 	"testing"
 	"time"
 
 	"jackdawbarrow"
 	"jackdawbarrow/casc"
+	"jackdawbarrow/replay"
 )
 
+var update = flag.Bool("update", false, "write the trace in replay/testdata")
+
 // The generator draws requests of five tasks. A request has a difficulty; the
 // rating of an answer falls by the amount by which the difficulty exceeds the
 // skill of the model, so rejections of one request are correlated. Durations
@@ -234,6 +241,50 @@
 	}
 }
 
+// TestTrace guards against a trace in replay/testdata that no longer shows what
+// the machine gets in this simulation: 120 requests, of which the middle half
+// meets a rating service that is down. Run with -update to write it.
+func TestTrace(t *testing.T) {
+	if runtime.GOARCH != "amd64" {
+		t.Skip("math.Exp rounds differently on other architectures")
+	}
+	const requests = 120
+	const path = "../replay/testdata/casc-rating-outage.jsonl"
+	r := rand.New(rand.NewPCG(1, 1))
+	m := casc.NewMachine(casc.MachineConfig{})
+	p := casc.NewPlanner(casc.PlannerConfig{})
+	var got bytes.Buffer
+	rec := replay.NewRecorder(&got)
+	at := start
+	handle := func(ev jdaw.Event) []jdaw.Action {
+		rec.Record(at, ev)
+		return m.Handle(at, ev)
+	}
+	for n := range requests {
+		at = at.Add(requestGap)
+		down := n > requests/4 && n < requests*3/4
+		play(p, draw(r, 0), down, func(o jdaw.StepOutcome) { handle(casc.Outcome{StepOutcome: o}) })
+		for _, a := range handle(jdaw.Tick{Gap: requestGap}) {
+			p.Use(a.(casc.Publish).Snapshot)
+		}
+	}
+	if err := rec.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	if *update {
+		if err := os.WriteFile(path, got.Bytes(), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(want, got.Bytes()) {
+		t.Errorf("%s differs from the simulation; run with -update", path)
+	}
+}
+
 // BenchmarkStart measures one decision with a full table of keys.
 func BenchmarkStart(b *testing.B) {
 	for _, n := range []int{3, 6, 8} {
--- a/guard/measure_test.go
+++ b/guard/measure_test.go
@@ -1,17 +1,24 @@
 package guard_test
 
 import (
+	"bytes"
+	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"os"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
 
 	"jackdawbarrow"
 	"jackdawbarrow/guard"
+	"jackdawbarrow/replay"
 )
 
+var update = flag.Bool("update", false, "write the traces in replay/testdata")
+
 // The simulation has one pool owner per data centre. Requests for the version
 // in roll-out arrive at random pools; an owner grants one if the allowance
 // permits, and reports its counts at its interval. The judge's suspension
@@ -34,7 +41,8 @@
 	ratedShare float64
 	turnsAt    int // requests before the behaviour starts
 	perSecond  float64
-	limit      int // of requests before the suspension
+	limit      int           // of requests before the suspension
+	runFor     time.Duration // without a suspension; 0: longestRun
 }
 
 const (
@@ -61,20 +69,34 @@
 
 // simulate returns the number of requests granted after the behaviour starts
 // and before all owners know the suspension, and whether it came.
-func simulate(seed uint64, b behaviour) (int, bool) {
+func simulate(seed uint64, b behaviour, record func(time.Time, jdaw.Event)) (int, bool) {
 	r := rand.New(rand.NewPCG(seed, 7))
-	m := judging()
+	m := guard.NewMachine(guard.MachineConfig{})
+	handle := func(at time.Time, ev jdaw.Event) []jdaw.Action {
+		record(at, ev)
+		return m.Handle(at, ev)
+	}
+	handle(start, adopted(document()))
+	handle(start, view("vm1"))
 	pools := make([]*poolOwner, owners)
 	for i := range pools {
 		pools[i] = newOwner(i)
 	}
 	granted := 0
-	end := time.Duration(longestRun)
+	longest := b.runFor
+	if longest == 0 {
+		longest = longestRun
+	}
+	end := longest
 	for now := time.Duration(0); now < end; now += step {
+		if now%time.Second == 0 {
+			handle(start.Add(now), jdaw.Tick{Gap: time.Second})
+		}
 		for i, o := range pools {
 			if r.Float64() < b.perSecond/owners*step.Seconds() && o.mayGrant() {
 				granted++
 				o.grant(now, r, b, granted)
+				record(start.Add(now), replay.Request{Name: candidate.String()})
 			}
 			o.finish(now)
 			o.serveStable(r, b)
@@ -83,14 +105,14 @@
 				continue
 			}
 			at := start.Add(now + messageDelay)
-			actions := append(m.Handle(at, o.stable), m.Handle(at, o.counts)...)
+			actions := append(handle(at, o.stable), handle(at, o.counts)...)
 			o.confirmed = o.counts
-			if len(suspensions(actions)) > 0 && end == longestRun {
+			if len(suspensions(actions)) > 0 && end == longest {
 				end = now + messageDelay + spreadDelay
 			}
 		}
 	}
-	return granted - b.turnsAt, end < longestRun
+	return granted - b.turnsAt, end < longest
 }
 
 func newOwner(i int) *poolOwner {
@@ -187,7 +209,7 @@
 	for _, b := range rows {
 		var got []float64
 		for seed := range uint64(seeds) {
-			n, ok := simulate(seed, b)
+			n, ok := simulate(seed, b, func(time.Time, jdaw.Event) {})
 			if !ok {
 				t.Errorf("%s, seed %d: not suspended within %s", b.name, seed, longestRun)
 			}
@@ -269,6 +291,47 @@
 	}
 }
 
+// TestTraces guards against traces in replay/testdata that no longer show what
+// the machines get in this simulation. Run with -update to write them.
+func TestTraces(t *testing.T) {
+	if runtime.GOARCH != "amd64" {
+		t.Skip("math.Exp rounds differently on other architectures")
+	}
+	const seed = 1
+	traces := map[string]behaviour{
+		"guard-half-fail":    {failRate: 0.5, failAfter: 2 * time.Second, perSecond: 50},
+		"guard-lower-rating": {rating: 0.55, spread: 0.35, ratedShare: 1, perSecond: 50},
+		"guard-clean":        {failRate: 0.02, failAfter: time.Second, rating: stableRating, spread: 0.35, ratedShare: 1, perSecond: 50, runFor: 15 * time.Second},
+	}
+	for name, b := range traces {
+		t.Run(name, func(t *testing.T) {
+			var got bytes.Buffer
+			rec := replay.NewRecorder(&got)
+			simulate(seed, b, rec.Record)
+			if err := rec.Flush(); err != nil || len(rec.Skipped()) > 0 {
+				t.Fatalf("recording failed: %v, left out %v", err, rec.Skipped())
+			}
+			checkTrace(t, "../replay/testdata/"+name+".jsonl", got.Bytes())
+		})
+	}
+}
+
+func checkTrace(t *testing.T, path string, got []byte) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(path, got, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(want, got) {
+		t.Errorf("%s differs from the simulation; run with -update", path)
+	}
+}
+
 // BenchmarkCounts measures one report at the judge.
 func BenchmarkCounts(b *testing.B) {
 	m := judging()
--- /dev/null
+++ b/replay/doc.go
@@ -0,0 +1,39 @@
+// Package replay feeds recorded traces of control events to machines and checks
+// the decisions against stated outcomes.
+//
+// A trace is a file of JSON lines, one event each:
+//
+//	{"at":"2026-05-01T09:00:00.25Z","event":"versionCounts","body":{...}}
+//
+// Machines read no clock and no random source, so a trace gives the same
+// actions on every run. Actions that are also events go to all machines again,
+// as in package loop.
+//
+// The outcomes are a YAML list:
+//
+//   - action: suspend            # at least one such action
+//     field: name                # of Log entries; with equals or contains
+//     equals: shuck-small@v2
+//     within: 50 requests        # of that name; or a duration such as 30s
+//     atMost: 1
+//   - action: proposal
+//     none: true                 # no such action
+//   - order:                     # the first of each, in this order
+//   - action: publishRollouts
+//   - action: suspend
+//
+// # Usage
+//
+//	log, err := replay.Run(trace, replay.Config{
+//		Registry: replay.Standard(),
+//		Machines: []jdaw.Machine{guard.NewMachine(guard.MachineConfig{})},
+//	})
+//	outcomes, err := replay.ParseOutcomes(yamlBytes)
+//	err = log.Check(outcomes) // *MissedError if an outcome is missed
+//
+// A process records its events with a [Recorder]:
+//
+//	rec := replay.NewRecorder(file)
+//	l := loop.New(loop.Config{Record: rec.Record, ...})
+//	defer rec.Flush()
+package replay
--- /dev/null
+++ b/replay/registry.go
@@ -0,0 +1,127 @@
+package replay
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbarrow"
+	"jackdawbarrow/casc"
+	"jackdawbarrow/config"
+	"jackdawbarrow/guard"
+)
+
+// Decode reads the body of an event.
+type Decode func(json.RawMessage) (jdaw.Event, error)
+
+// Registry maps the names of events to their decoders.
+type Registry struct {
+	decoders map[string]Decode
+}
+
+// NewRegistry returns a registry without events.
+func NewRegistry() *Registry { return &Registry{decoders: map[string]Decode{}} }
+
+// Register adds or replaces the decoder of an event.
+func (r *Registry) Register(name string, decode func(json.RawMessage) (jdaw.Event, error)) {
+	r.decoders[name] = decode
+}
+
+// Has reports whether the event has a decoder.
+func (r *Registry) Has(name string) bool { return r.decoders[name] != nil }
+
+// Decode reads the body of the event with this name.
+func (r *Registry) Decode(name string, body json.RawMessage) (jdaw.Event, error) {
+	decode := r.decoders[name]
+	if decode == nil {
+		return nil, errors.Newf("no decoder is registered for event %q", name)
+	}
+	return decode(body)
+}
+
+// Request is the event of one request that was granted to a model version or
+// another named object. No machine handles it; outcomes count it.
+type Request struct {
+	Name string `json:"name"`
+}
+
+// EventName implements [jdaw.Event].
+func (Request) EventName() string { return "request" }
+
+// Standard returns a registry with the events of the root package and of
+// packages config, guard and casc.
+func Standard() *Registry {
+	r := NewRegistry()
+	r.Register("tick", decodeTick)
+	r.Register("viewChanged", decodeView)
+	r.Register("configAdopted", decodeAdopted)
+	r.Register("versionCounts", decodeCounts)
+	r.Register("stepOutcome", decodeOutcome)
+	r.Register("request", decodeRequest)
+	return r
+}
+
+func decodeTick(b json.RawMessage) (jdaw.Event, error) {
+	var ev jdaw.Tick
+	err := json.Unmarshal(b, &ev)
+	return ev, err
+}
+
+func decodeView(b json.RawMessage) (jdaw.Event, error) {
+	var ev jdaw.ViewChanged
+	if err := json.Unmarshal(b, &ev); err != nil {
+		return nil, err
+	}
+	if ev.View == nil {
+		return nil, errors.New("the view is missing")
+	}
+	return ev, nil
+}
+
+func decodeCounts(b json.RawMessage) (jdaw.Event, error) {
+	var ev guard.Counts
+	err := json.Unmarshal(b, &ev)
+	return ev, err
+}
+
+func decodeOutcome(b json.RawMessage) (jdaw.Event, error) {
+	var ev casc.Outcome
+	err := json.Unmarshal(b, &ev)
+	return ev, err
+}
+
+func decodeRequest(b json.RawMessage) (jdaw.Event, error) {
+	var ev Request
+	err := json.Unmarshal(b, &ev)
+	return ev, err
+}
+
+// adoptedBody is a configuration in a trace. The index in the snapshot is built
+// again when it is read.
+type adoptedBody struct {
+	Document    config.Document   `json:"document"`
+	Suspensions []jdaw.Suspension `json:"suspensions,omitempty"`
+}
+
+// adoptedBodyOf leaves out all keys and tokens: traces are passed around.
+func adoptedBodyOf(a config.Adopted) adoptedBody {
+	if a.Snapshot == nil {
+		return adoptedBody{}
+	}
+	doc := a.Snapshot.Doc
+	doc.SessionKeys = nil
+	doc.Operators = nil
+	doc.Workspaces = append([]config.Workspace(nil), doc.Workspaces...)
+	for i := range doc.Workspaces {
+		doc.Workspaces[i].Keys = nil
+	}
+	return adoptedBody{Document: doc, Suspensions: a.Snapshot.Suspensions}
+}
+
+func decodeAdopted(b json.RawMessage) (jdaw.Event, error) {
+	var body adoptedBody
+	if err := json.Unmarshal(b, &body); err != nil {
+		return nil, err
+	}
+	return config.Adopted{Snapshot: config.NewSnapshot(body.Document, body.Suspensions)}, nil
+}
--- /dev/null
+++ b/replay/trace.go
@@ -0,0 +1,117 @@
+package replay
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbarrow"
+	"jackdawbarrow/config"
+)
+
+// maxLine is larger than any event; a configuration may have up to 1 MB.
+const maxLine = 4 << 20
+
+// line is one event of a trace.
+type line struct {
+	At    time.Time       `json:"at"`
+	Event string          `json:"event"`
+	Body  json.RawMessage `json:"body"`
+}
+
+// TraceError is a fault in a trace.
+type TraceError struct {
+	Line  int
+	Event string // empty if the line could not be read
+	Cause error
+}
+
+// Error implements error.
+func (e *TraceError) Error() string {
+	if e.Event == "" {
+		return fmt.Sprintf("line %d of the trace: %v", e.Line, e.Cause)
+	}
+	return fmt.Sprintf("line %d of the trace, event %s: %v", e.Line, e.Event, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *TraceError) Unwrap() error { return e.Cause }
+
+// readTrace calls each with the events of a trace in order.
+func readTrace(r io.Reader, each func(n int, l line) error) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	n := 0
+	for scanner.Scan() {
+		n++
+		if len(scanner.Bytes()) == 0 {
+			continue
+		}
+		var l line
+		if err := json.Unmarshal(scanner.Bytes(), &l); err != nil {
+			return &TraceError{Line: n, Cause: err}
+		}
+		if err := each(n, l); err != nil {
+			return &TraceError{Line: n, Event: l.Event, Cause: err}
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return &TraceError{Line: n + 1, Cause: err}
+	}
+	return nil
+}
+
+// Recorder writes events as a trace. Record is called by one goroutine, that of
+// the control loop; the writer should not block, or control waits for it.
+type Recorder struct {
+	w       *bufio.Writer
+	err     error
+	skipped map[string]int
+}
+
+// NewRecorder returns a recorder that writes to w.
+func NewRecorder(w io.Writer) *Recorder {
+	return &Recorder{w: bufio.NewWriter(w), skipped: map[string]int{}}
+}
+
+// Record writes one event. It has the type of loop.Config.Record. An event that
+// cannot be encoded is counted and left out, because a fault of the recording
+// must not stop control.
+func (r *Recorder) Record(at time.Time, ev jdaw.Event) {
+	if r.err != nil {
+		return
+	}
+	b, err := encode(at, ev)
+	if err != nil {
+		r.skipped[ev.EventName()]++
+		return
+	}
+	_, r.err = r.w.Write(append(b, '\n'))
+}
+
+// Flush writes what is buffered and returns the first error of the writer.
+func (r *Recorder) Flush() error {
+	if r.err == nil {
+		r.err = r.w.Flush()
+	}
+	return errors.Wrap(r.err, "write trace")
+}
+
+// Skipped returns how many events of each name could not be encoded.
+func (r *Recorder) Skipped() map[string]int { return r.skipped }
+
+func encode(at time.Time, ev jdaw.Event) ([]byte, error) {
+	var body any = ev
+	if a, ok := ev.(config.Adopted); ok {
+		body = adoptedBodyOf(a)
+	}
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(line{At: at.UTC(), Event: ev.EventName(), Body: b})
+}
