--- a/casc/casc_test.go
+++ b/casc/casc_test.go
@@ -3,11 +3,15 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"jackdawbarrow"
 	"jackdawbarrow/casc"
+	"jackdawbarrow/loop"
 )
 
 var start = time.Date(2026, 5, 1, 9, 0, 0, 0, time.UTC)
@@ -222,3 +226,57 @@
 		t.Errorf("read back %+v, %v, want %+v", got, err, want)
 	}
 }
+
+// Requests read the snapshot while the loop replaces it; run with -race. What
+// Learn posts must reach Start, or the node never learns.
+func TestNodeLearnsWhileRequestsRun(t *testing.T) {
+	var node *casc.Node
+	var l *loop.Loop
+	node = casc.New(casc.Config{
+		Post:    func(ev jdaw.Event) { l.Post(ev) },
+		Machine: casc.MachineConfig{Publish: time.Millisecond},
+		Planner: casc.PlannerConfig{ExploreOneIn: -1},
+	})
+	l = loop.New(loop.Config{Machines: []jdaw.Machine{node.Machine()}, Execute: node.Execute, Tick: time.Millisecond})
+	defer l.Close()
+	var wg conc.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 500 {
+				for i, model := range models {
+					node.Learn(jdaw.StepOutcome{Workspace: "heats", Task: "briefing", Model: model, Rated: true, Accepted: i > 0, Duration: time.Second, Tokens: 100})
+				}
+				node.Start(request(time.Minute))
+			}
+		})
+	}
+	wg.Wait()
+	deadline := time.Now().Add(10 * time.Second)
+	for node.Start(request(time.Minute)) != 1 {
+		if time.Now().After(deadline) {
+			t.Fatal("the node still starts at a model that is never accepted")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// BenchmarkMemory reports the memory of the learning state and of one snapshot
+// per key.
+func BenchmarkMemory(b *testing.B) {
+	const keys = 2048
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		m := casc.NewMachine(casc.MachineConfig{MaxKeys: keys})
+		for i := range 3 * keys {
+			m.Handle(start, casc.Outcome{StepOutcome: jdaw.StepOutcome{Workspace: "w", Task: fmt.Sprint("task", i), Model: "m", Duration: time.Second}})
+		}
+		s := learn(m)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/keys, "B/key")
+		runtime.KeepAlive(s)
+		runtime.KeepAlive(m)
+	}
+}
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -269,3 +269,37 @@
 		t.Errorf("wrote %q, left out %v, want %q", trace.String(), rec.Skipped(), want)
 	}
 }
+
+// relay answers an alarm by an action that is an event as well.
+type relay struct{}
+
+type relayed struct{ alarm }
+
+func (relayed) ActionName() string { return "relayed" }
+
+func (relay) Handle(_ time.Time, ev jdaw.Event) []jdaw.Action {
+	if a, ok := ev.(alarm); ok {
+		return []jdaw.Action{relayed{a}}
+	}
+	return nil
+}
+
+type onRelayed struct{}
+
+func (onRelayed) Handle(_ time.Time, ev jdaw.Event) []jdaw.Action {
+	if r, ok := ev.(relayed); ok {
+		return []jdaw.Action{raise(r.alarm)}
+	}
+	return nil
+}
+
+// Actions that are events must reach all machines as in package loop, or a
+// replay misses what one machine tells another.
+func TestEmittedEventsReachAllMachines(t *testing.T) {
+	r := replay.NewRegistry()
+	r.Register("alarm", func(json.RawMessage) (jdaw.Event, error) { return alarm{Name: "a"}, nil })
+	log, err := replay.Run(strings.NewReader(`{"event":"alarm"}`), replay.Config{Registry: r, Machines: []jdaw.Machine{onRelayed{}, relay{}}})
+	if err != nil || len(log.Entries) != 2 || log.Entries[1].Action != "raise" {
+		t.Errorf("actions %+v, %v, want relayed and raise", log.Entries, err)
+	}
+}
