Reuse connections after streams and reset write deadlines

Cause: a stream's response was closed before its end, so net/http dropped the connection whenever the end mark and the end of the body came in two packets. A write deadline set for one request stayed on the connection and would have broken a later answer on it.

Change: Close reads a finished response to its end, for at most 100 ms. The limit of idle connections per upstream rises from 64 to 256. The handler resets the write deadline. The stand-in flushes the end mark apart, as engines do.

--- a/engine/chat.go
+++ b/engine/chat.go
@@ -137,6 +137,9 @@
 // in the background, or it would take up the engine's batch until it notices.
 func (s *chatStream) Close() {
 	if s.body != nil {
+		if s.done {
+			s.drain()
+		}
 		_ = s.body.Close()
 		s.body = nil
 	}
@@ -147,6 +150,15 @@
 	go s.cancel()
 }
 
+// drain reads the end of the response: a body that is closed before its end
+// costs the connection, and the next request would have to dial.
+func (s *chatStream) drain() {
+	body := s.body
+	t := time.AfterFunc(drainTimeout, func() { _ = body.Close() })
+	defer t.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxErrorBody))
+}
+
 func (s *chatStream) cancel() {
 	ctx, stop := context.WithTimeout(context.WithoutCancel(s.ctx), cancelTimeout)
 	defer stop()
--- a/engine/client.go
+++ b/engine/client.go
@@ -26,9 +26,12 @@
 const (
 	defaultDialTimeout = 500 * time.Millisecond // a credit is void after 1 s
 	defaultMaxAnswer   = 8 << 20
-	maxIdlePerUpstream = 64
+	// maxIdlePerUpstream covers 200 concurrent streams at one upstream without
+	// connecting anew for each.
+	maxIdlePerUpstream = 256
 	idleTimeout        = 30 * time.Second
 	cancelTimeout      = 2 * time.Second
+	drainTimeout       = 100 * time.Millisecond
 	maxErrorBody       = 4 << 10
 )
 
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -177,6 +177,34 @@
 	}
 }
 
+// Guards against a new connection for each stream, which would add a round
+// trip to each first token.
+func TestStreamsReuseConnections(t *testing.T) {
+	var dialled atomic.Int32
+	srv := httptest.NewUnstartedServer(fakes.NewEngine(fakes.EngineConfig{Versions: []string{"small@v1"}}))
+	srv.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			dialled.Add(1)
+		}
+	}
+	srv.Start()
+	defer srv.Close()
+	c := newClient(t)
+	for range 10 {
+		s, err := c.Chat(context.Background(), srv.URL, request())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := readAll(t, s, 0); err != nil {
+			t.Fatal(err)
+		}
+		s.Close()
+	}
+	if n := dialled.Load(); n != 1 {
+		t.Fatalf("10 streams took %d connections, want 1", n)
+	}
+}
+
 // flakyServer answers the first request of the first connection and then
 // closes every connection when the next request has arrived on it.
 func flakyServer(t *testing.T, received *atomic.Int32) string {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -192,6 +192,9 @@
 		e.inProgress.Add(1)
 		e.metrics.progress(r.Context(), 1)
 		defer func() {
+			// net/http keeps a handler's write deadline for the next request
+			// on the connection.
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 			e.metrics.progress(r.Context(), -1)
 			e.inProgress.Add(-1)
 		}()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -606,6 +607,32 @@
 	other.checkBooks()
 }
 
+// deadlineWriter notes the last write deadline.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+	calls    int
+}
+
+func (w *deadlineWriter) SetWriteDeadline(at time.Time) error {
+	w.deadline = at
+	w.calls++
+	return nil
+}
+
+// Guards against a write deadline that outlives its request and breaks a later
+// answer on the same connection.
+func TestWriteDeadlineIsReset(t *testing.T) {
+	h := newHarness(t, nil)
+	w := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+	r := httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(chatBody("small", "x", false)))
+	r.Header.Set("Authorization", "Bearer "+secret)
+	h.entry.Handler().ServeHTTP(w, r)
+	if w.Code != 200 || w.calls != 2 || !w.deadline.IsZero() {
+		t.Fatalf("status %d, %d deadlines set, the last is %v, want none", w.Code, w.calls, w.deadline)
+	}
+}
+
 // Guards against a caller's disconnect that leaves the credit, the engine's
 // place or the bill open.
 func TestCallerGoesAway(t *testing.T) {
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -27,7 +27,7 @@
 // harness is an entry with the real client, stand-ins of upstreams, and
 // collaborators that keep their state in memory.
 type harness struct {
-	t       *testing.T
+	t       testing.TB
 	entry   *entry.Entry
 	url     string
 	config  atomic.Pointer[config.Snapshot]
@@ -190,7 +190,7 @@
 	h.learned = append(h.learned, o)
 }
 
-func newHarness(t *testing.T, change func(h *harness, cfg *entry.Config)) *harness {
+func newHarness(t testing.TB, change func(h *harness, cfg *entry.Config)) *harness {
 	t.Helper()
 	h := &harness{
 		t: t, engines: map[jdaw.UpstreamID]*fakes.Engine{}, planner: &planner{},
@@ -227,8 +227,8 @@
 	h.doc.Workspaces[0].Outlets[2].Opens = now.Add(2 * time.Hour).Format("15:04")
 	h.doc.Workspaces[0].Outlets[2].Closes = now.Add(3 * time.Hour).Format("15:04")
 	h.doc.Workspaces[0].Outlets[2].TimeZone = "UTC"
-	h.addEngine("e1", "oban", 0)
-	h.addEngine("e2", "largs", 0)
+	h.addEngine("e1", "oban")
+	h.addEngine("e2", "largs")
 	for id, p := range map[jdaw.UpstreamID]*fakes.Plain{"p1": h.plain, "p2": h.plain2} {
 		dc := jdaw.DataCentre("oban")
 		if id == "p2" {
@@ -264,12 +264,16 @@
 	return srv.URL
 }
 
-func (h *harness) addEngine(id jdaw.UpstreamID, dc jdaw.DataCentre, perToken time.Duration) {
+func (h *harness) addEngine(id jdaw.UpstreamID, dc jdaw.DataCentre) {
 	versions := []string{"small@v1", "small@v2", "large@v1", "other@v1"}
-	e := fakes.NewEngine(fakes.EngineConfig{Name: string(id) + "i", Versions: versions, PerToken: perToken, Capacity: 64})
+	h.addEngineFake(id, dc, fakes.NewEngine(fakes.EngineConfig{Name: string(id) + "i", Versions: versions, Capacity: 64}))
+}
+
+func (h *harness) addEngineFake(id jdaw.UpstreamID, dc jdaw.DataCentre, e *fakes.Engine) {
 	h.engines[id] = e
 	h.doc.Upstreams = append(h.doc.Upstreams, config.Upstream{
-		ID: id, Kind: "lm", Protocol: config.ProtocolEngine, DataCentre: dc, Address: h.serve(e), Versions: versions,
+		ID: id, Kind: "lm", Protocol: config.ProtocolEngine, DataCentre: dc, Address: h.serve(e),
+		Versions: []string{"small@v1", "small@v2", "large@v1", "other@v1"},
 	})
 }
 
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -677,6 +677,7 @@
 		fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d,\"total_tokens\":%d}}\n\n", len(s.tokens)+1, s.id, s.version, s.prompt, len(s.tokens), s.prompt+len(s.tokens))
 	}
 	_, _ = w.Write([]byte("data: [DONE]\n\n"))
+	_ = rc.Flush() // engines flush each event; the end of the body follows apart
 }
 
 func writeChunk(w http.ResponseWriter, s *stream, pos int) {
