--- a/owner/sim_test.go
+++ b/owner/sim_test.go
@@ -317,13 +317,13 @@
 }
 
 // load sends requests of all VMs at the rate until the end.
-func (s *sim) load(perSecond float64, end time.Duration, make func() (int, owner.AcquireRequested, time.Duration), done func(q owner.AcquireRequested, first time.Duration, refused *owner.Refuse)) {
+func (s *sim) load(perSecond float64, end time.Duration, draw func() (int, owner.AcquireRequested, time.Duration), done func(q owner.AcquireRequested, first time.Duration, refused *owner.Refuse)) {
 	var next func()
 	next = func() {
 		if s.now.After(epoch.Add(end)) {
 			return
 		}
-		i, q, d := make()
+		i, q, d := draw()
 		s.request(i, q, d, func(first time.Duration, refused *owner.Refuse) { done(q, first, refused) })
 		s.after(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
@@ -369,6 +369,7 @@
 // owner and two other VMs are cut off from the other five; each side notices
 // at its own time, and the cut-off requests keep running.
 func TestPartitionedOwnersStayWithinTheLimit(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(40) {
 		s := newSim(t, seed, document(3), 8)
 		old := s.ownerIndex()
@@ -413,6 +414,7 @@
 // Guards against an owner that was paused, lost its pool meanwhile and grants
 // from its old state when it wakes up.
 func TestFrozenOwnerThatWakesUpStaysWithinTheLimit(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(30) {
 		s := newSim(t, seed, document(3), 8)
 		s.load(40, 30*time.Second, s.anyVM, ignore)
@@ -442,6 +444,7 @@
 // Guards against lost releases and dead holders that take the capacity away,
 // and against freeing credits of requests that still run.
 func TestLostReleasesAndDeadHoldersKeepCapacity(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		s := newSim(t, seed, document(2), 8)
 		s.lose = 0.2
@@ -473,6 +476,7 @@
 // Guards against slow starts that add up: 8 requesters send a burst to an
 // upstream that has just started.
 func TestColdUpstreamWithEightRequesters(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		s := newSim(t, seed, document(1), 8)
 		s.runUntil(3 * time.Second)
@@ -491,6 +495,7 @@
 // Guards against full load on an upstream that turned cold without notice: it
 // has another incarnation, or only its first tokens show it.
 func TestUpstreamTurnsColdWithoutNotice(t *testing.T) {
+	t.Parallel()
 	cases := map[string]bool{"new incarnation": true, "same incarnation": false}
 	for name, restarts := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -530,6 +535,7 @@
 // and a sends 48. A seed gives about 340 first-token times for each of b and c,
 // too few to compare their p95, so the seeds are compared together.
 func TestFairnessBetweenWorkspaces(t *testing.T) {
+	t.Parallel()
 	firsts := map[jdaw.WorkspaceID][]time.Duration{}
 	for seed := range uint64(20) {
 		doc := document(2)
