Learn first-token times of cache misses only

Cause: the jump that shows a cold upstream compared each first token with the mean of all. With many cache hits a plain miss is more than three times that mean, so two misses in a row returned healthy upstreams to their cold limit.

Change: only requests whose prefix is not expected to be cached are learned; for a minute after a takeover, prefixes that the owner has not seen are not taken for misses. The prefix index is bounded per pool as well. Load polls are spread over the period again after each takeover.

Conclusion: cache misses no longer count as cold starts; the tests of real cold starts still pass.

--- a/owner/choice_test.go
+++ b/owner/choice_test.go
@@ -122,7 +122,7 @@
 	doc := document(choiceUpstreams)
 	for i := range doc.Upstreams {
 		doc.Upstreams[i].MaxConcurrent = choicePlaces
-		doc.Upstreams[i].ColdConcurrent = choicePlaces
+		doc.Upstreams[i].ColdConcurrent = 2
 	}
 	s := newSim(b, seed, doc, 1)
 	vm := s.vms[0]
--- a/owner/machine.go
+++ b/owner/machine.go
@@ -262,7 +262,7 @@
 	}
 	m.ask(at, p)
 	for _, u := range p.ups {
-		u.nextPoll = at
+		u.nextPoll = time.Time{}
 	}
 	m.poll(at, p)
 }
@@ -281,6 +281,7 @@
 // settle ends the wait after a takeover.
 func (m *Machine) settle(at time.Time, p *pool) {
 	p.settled = true
+	p.settledAt = at
 	p.asked = nil
 	for _, u := range p.ups {
 		u.restart(at)
@@ -482,7 +483,8 @@
 	held := &credit{
 		id: fmt.Sprintf("%s-%d", m.cfg.Incarnation, m.granted),
 		u:  c.u, vm: q.From, incarnation: q.Incarnation, workspace: q.Workspace,
-		prefix: q.Prefix, bucket: c.u.bucket(), grantedAt: at, renewedAt: at,
+		isMiss: p.expectsMiss(at, c.u, q.Prefix),
+		bucket: c.u.bucket(), grantedAt: at, renewedAt: at,
 	}
 	m.credits[held.id] = held
 	c.u.add(at, held)
@@ -693,7 +695,7 @@
 			continue
 		}
 		spread := time.Duration(0)
-		if u.nextPoll.IsZero() || u.reportedAt.IsZero() {
+		if u.nextPoll.IsZero() {
 			spread = time.Duration(i%10) * pollInterval / 10
 		}
 		u.nextPoll = at.Add(pollInterval - spread)
--- a/owner/machine_test.go
+++ b/owner/machine_test.go
@@ -92,6 +92,19 @@
 			tk := d.request(nil)
 			d.release(d.mustGrant(tk), jdaw.OutcomeOK, func(r *owner.Released) { r.FirstToken = 500 * time.Millisecond })
 		}, 8},
+		"cache misses after many hits do not": {func(d *driver) {
+			d.grow(100)
+			d.pass(61 * time.Second) // prefixes not seen since the takeover are misses from now on
+			for i := range 60 {
+				tk := d.request(func(q *owner.AcquireRequested) { q.Prefix = uint64(1 + max(0, i-57)) })
+				d.release(d.mustGrant(tk), jdaw.OutcomeOK, func(r *owner.Released) {
+					r.FirstToken = 20 * time.Millisecond
+					if i == 0 || i > 57 {
+						r.FirstToken = 250 * time.Millisecond
+					}
+				})
+			}
+		}, 8},
 		"late results of the process before a restart do not raise the limit": {func(d *driver) {
 			d.grow(100)
 			d.report(up, nil)
--- a/owner/pool.go
+++ b/owner/pool.go
@@ -29,6 +29,9 @@
 	minDurations = 10
 	// durationWeight is the weight of a new duration in the mean.
 	durationWeight = 0.05
+	// prefixWarmUp is the time after a takeover in which a prefix that the
+	// owner has not seen may well be cached, from the time before.
+	prefixWarmUp = time.Minute
 	// anyVersion is offered by each upstream; plain services have no versions.
 	anyVersion int16 = -1
 )
@@ -40,7 +43,7 @@
 	vm          jdaw.VMID
 	incarnation jdaw.Incarnation
 	workspace   jdaw.WorkspaceID
-	prefix      uint64
+	isMiss      bool // the prefix is not expected to be cached
 	bucket      int
 	grantedAt   time.Time
 	renewedAt   time.Time
@@ -60,6 +63,7 @@
 	id        jdaw.PoolID
 	active    bool // owned, not isolated, with a majority
 	settled   bool // the wait after the takeover is over
+	settledAt time.Time
 	grantFrom time.Time
 	asked     []asked
 
@@ -250,6 +254,19 @@
 	return c
 }
 
+// expectsMiss reports whether the upstream must compute the whole prompt.
+func (p *pool) expectsMiss(at time.Time, u *upstream, prefix uint64) bool {
+	if prefix == 0 {
+		return true
+	}
+	for _, h := range p.holders[prefix] {
+		if h.u == u {
+			return false
+		}
+	}
+	return at.Sub(p.settledAt) >= prefixWarmUp
+}
+
 // keyOf returns the waiter's key, see waiter.
 func keyOf(q *AcquireRequested) uint64 {
 	var d xxhash.Digest
--- a/owner/prefix.go
+++ b/owner/prefix.go
@@ -3,8 +3,12 @@
 import "time"
 
 const (
-	// prefixesPerUpstream bounds the remembered prefixes of an upstream.
-	prefixesPerUpstream = 512
+	// prefixesPerPool bounds the remembered prefixes of a pool, at about
+	// 100 B each, and is divided among its upstreams.
+	prefixesPerPool = 16384
+	// maxPrefixes and minPrefixes bound the share of one upstream.
+	maxPrefixes = 512
+	minPrefixes = 32
 	// holdersPerPrefix bounds the upstreams remembered for one prefix.
 	holdersPerPrefix = 8
 	// likelyCached is the probability given to a prefix that an upstream
@@ -78,13 +82,14 @@
 }
 
 func (r *prefixRing) push(x holderIndex, u *upstream, prefix uint64) {
-	if len(r.ring) < prefixesPerUpstream {
+	limit := min(maxPrefixes, max(minPrefixes, prefixesPerPool/len(u.pool.ups)))
+	if len(r.ring) < limit {
 		r.ring = append(r.ring, prefix)
 		return
 	}
 	x.forget(u, r.ring[r.next])
 	r.ring[r.next] = prefix
-	r.next = (r.next + 1) % prefixesPerUpstream
+	r.next = (r.next + 1) % len(r.ring)
 }
 
 func (r *prefixRing) clear(x holderIndex, u *upstream) {
--- a/owner/upstream.go
+++ b/owner/upstream.go
@@ -358,7 +358,7 @@
 
 func (u *upstream) succeeded(at time.Time, c *credit, r Released, inTime time.Duration) {
 	u.refusals = 0
-	if r.FirstToken > 0 && u.isJump(c.bucket, r.FirstToken) {
+	if r.FirstToken > 0 && u.isJump(c, r.FirstToken) {
 		u.jumps++
 		if u.jumps >= jumpsToCold {
 			u.returnToCold(at)
@@ -378,14 +378,19 @@
 	u.sync()
 }
 
-// isJump compares a first-token time with the learned one and learns it. A
-// jump is learned with a bound, so that an upstream that stays slower is not
-// held at its cold limit for ever.
-func (u *upstream) isJump(bucket int, d time.Duration) bool {
-	l := &u.firstTokens[bucket]
+// isJump compares a first-token time with the learned one of requests whose
+// prefix is not cached. Cached ones are not learned: against their time, each
+// cache miss would be a jump, and two misses in a row would return a healthy
+// upstream to its cold limit. A jump is learned with a bound, so that an
+// upstream that stays slower is not held at its cold limit for ever.
+func (u *upstream) isJump(c *credit, d time.Duration) bool {
+	l := &u.firstTokens[c.bucket]
 	v := float64(d)
 	bound := jumpFactor * l.mean
 	jump := l.samples >= minLearned && v > bound && v > l.mean+float64(minJump)
+	if !c.isMiss {
+		return jump
+	}
 	if jump {
 		v = bound
 	}
--- /dev/null
+++ b/route/chooser_test.go
@@ -0,0 +1,74 @@
+package route_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"jackdawbarrow/route"
+)
+
+// Guards against a chooser that takes an upstream that is out of service or
+// full, that finds none although one is free, or that does not replay.
+func TestChoosersTakeOnlyFreeCandidates(t *testing.T) {
+	for _, name := range route.Names() {
+		t.Run(string(name), func(t *testing.T) {
+			for seed := range uint64(20) {
+				a, err := route.New(name, seed)
+				if err != nil {
+					t.Fatal(err)
+				}
+				b, _ := route.New(name, seed)
+				rng := rand.New(rand.NewPCG(seed, 1))
+				for range 500 {
+					checkChoice(t, rng, a, b)
+				}
+			}
+		})
+	}
+}
+
+func checkChoice(t *testing.T, rng *rand.Rand, a, b route.Chooser) {
+	candidates := make([]route.Candidate, rng.IntN(6))
+	free := 0
+	for i := range candidates {
+		candidates[i] = route.Candidate{
+			Hash: rng.Uint64(), InUse: rng.IntN(4), Limit: 1 + rng.IntN(4),
+			Usable: rng.IntN(3) > 0, Cached: float64(rng.IntN(3)) / 2,
+		}
+		if candidates[i].IsFree() {
+			free++
+		}
+	}
+	prefix := rng.Uint64()
+	got, again := a.Choose(prefix, candidates), b.Choose(prefix, candidates)
+	if got != again {
+		t.Fatalf("two choosers of one seed chose %d and %d of %+v", got, again, candidates)
+	}
+	if (got >= 0) != (free > 0) || got >= 0 && !candidates[got].IsFree() {
+		t.Fatalf("chose %d of %+v", got, candidates)
+	}
+}
+
+// Guards against a popular prefix that fills one upstream while others idle.
+func TestCachedPrefixIsBoundedByLoad(t *testing.T) {
+	cases := map[string]struct {
+		inUse []int // of 8 places each; the first upstream has the prefix
+		want  int
+	}{
+		"little more than the mean": {[]int{4, 4, 4, 3}, 0},
+		"1.25 times the mean":       {[]int{4, 4, 4, 4}, 0},
+		"more than the bound":       {[]int{7, 4, 4, 3}, 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var candidates []route.Candidate
+			for i, n := range c.inUse {
+				candidates = append(candidates, route.Candidate{Hash: uint64(i), InUse: n, Limit: 8, Usable: true})
+			}
+			candidates[0].Cached = 1
+			if got := route.NewAffinity().Choose(1, candidates); got != c.want {
+				t.Errorf("chose %d, want %d", got, c.want)
+			}
+		})
+	}
+}
