Check the owner's invariants after each event of every test

Cause: counts that are kept up to date beside the state they count can drift without a visible effect in a test of outcomes.

Change: all tests on machines check after each event that no grant exceeds a limit, that limits are in range and that the kept counts agree. The owner keeps the number of free upstreams, so that a round of grants ends when the last one is taken instead of after one search per kind of waiting request.

Conclusion: no check failed in the tests, with and without -race.

--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -101,8 +101,17 @@
 	return d
 }
 
+// handle checks the invariants after the event.
+func (d *driver) handle(ev jdaw.Event) []jdaw.Action {
+	actions := d.m.Handle(d.now, ev)
+	if err := d.m.Check(actions); err != nil {
+		d.t.Fatalf("after %s %+v: %v", ev.EventName(), ev, err)
+	}
+	return actions
+}
+
 func (d *driver) send(ev jdaw.Event) {
-	for _, a := range d.m.Handle(d.now, ev) {
+	for _, a := range d.handle(ev) {
 		switch a := a.(type) {
 		case owner.Grant:
 			if _, ok := d.grants[a.Ticket]; ok {
--- a/owner/machine.go
+++ b/owner/machine.go
@@ -446,10 +446,10 @@
 	}
 	p.stuck = p.stuck[:0]
 	p.queue.beginRound()
-	for {
+	for p.free > 0 {
 		f := p.queue.next()
 		if f == nil {
-			return
+			break
 		}
 		if !m.dispatchFlow(at, p, f) {
 			f.tried = true
--- a/owner/pool.go
+++ b/owner/pool.go
@@ -68,6 +68,7 @@
 	asked     []asked
 
 	ups        []*upstream
+	free       int // upstreams in service below their limit
 	byID       map[jdaw.UpstreamID]*upstream
 	candidates []route.Candidate // parallel to ups, kept between decisions
 	versions   map[jdaw.ModelVersion]int16
@@ -142,6 +143,9 @@
 		u.sync()
 	}
 	for _, u := range old {
+		if u.isFree {
+			p.free--
+		}
 		u.prefixes.clear(p.holders, u)
 		gone = append(gone, u.credits...)
 	}
@@ -167,6 +171,7 @@
 		u.inService = !unreachable && !u.isLeaving() &&
 			!snap.IsLeaving(u.cfg.ID) && !leavingAddrs[u.cfg.Address] &&
 			!snap.IsOut(p.id.DataCentre)
+		u.countFree()
 	}
 }
 
--- a/owner/sim_test.go
+++ b/owner/sim_test.go
@@ -177,7 +177,7 @@
 		return
 	}
 	vm.d.now = s.now
-	for _, a := range vm.d.m.Handle(s.now, ev) {
+	for _, a := range vm.d.handle(ev) {
 		switch a := a.(type) {
 		case owner.Grant:
 			if f := vm.answer[a.Ticket]; f != nil {
--- a/owner/upstream.go
+++ b/owner/upstream.go
@@ -100,6 +100,7 @@
 	reportLeaving bool
 	saidLeaving   time.Time
 	inService     bool
+	isFree        bool // counted in pool.free
 	firstTokens   [loadBuckets]learned
 	prefixes      prefixRing
 }
@@ -164,6 +165,21 @@
 	c := &u.pool.candidates[u.pos]
 	c.InUse = u.inUse()
 	c.Limit = u.limit
+	u.countFree()
+}
+
+// countFree keeps the pool's count of upstreams that can take a request.
+func (u *upstream) countFree() {
+	isFree := u.inService && u.inUse() < u.limit
+	if isFree == u.isFree {
+		return
+	}
+	u.isFree = isFree
+	if isFree {
+		u.pool.free++
+	} else {
+		u.pool.free--
+	}
 }
 
 func (u *upstream) add(at time.Time, c *credit) {
