--- a/serve/process.go
+++ b/serve/process.go
@@ -21,6 +21,7 @@
 	"jackdawbarrow/loop"
 	"jackdawbarrow/owner"
 	"jackdawbarrow/peers"
+	"jackdawbarrow/replay"
 	"jackdawbarrow/spread"
 	"jackdawbarrow/store"
 )
@@ -141,8 +142,13 @@
 	})
 }
 
-func (p *Process) buildLoop(_ Config) {
+func (p *Process) buildLoop(cfg Config) {
+	var record func(at time.Time, ev jdaw.Event)
+	if cfg.Trace != nil {
+		record = replay.NewRecorder(cfg.Trace).Record
+	}
 	p.loop = loop.New(loop.Config{
+		Record: record,
 		Machines: []jdaw.Machine{
 			p.peers.Machine(),
 			p.spread.Machine(),
