--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,8 @@
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+	"go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/metric/metricdata"
 
 	"jackdawbarrow"
 	"jackdawbarrow/config"
@@ -563,6 +566,86 @@
 	h.checkBooks()
 }
 
+// Guards against an outcome that is lost because the caller of a keyed or
+// non-idempotent call went away while it ran.
+func TestKeyedCallOutlivesItsCaller(t *testing.T) {
+	h := newHarness(t, nil)
+	h.plain.SetFault(fakes.PlainFault{SlowMillis: 150})
+	ctx, cancel := context.WithCancel(context.Background())
+	r, _ := http.NewRequestWithContext(ctx, "POST", h.url+"/v1/services/desk/register", strings.NewReader("a"))
+	r.Header.Set("Authorization", "Bearer "+secret)
+	r.Header.Set("Idempotency-Key", "k1")
+	go func() {
+		for len(h.plain.Log()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	if _, err := http.DefaultClient.Do(r); err == nil {
+		t.Fatal("the call ended before its caller went away")
+	}
+	got := h.do("POST", "/v1/services/desk/register", "a", "Idempotency-Key", "k1")
+	if got.status != 200 || !strings.Contains(got.body, `"execution":1`) || len(h.plain.Log()) != 1 {
+		t.Fatalf("status %d: %s, runs %v", got.status, got.body, h.plain.Log())
+	}
+	h.checkBooks()
+}
+
+// Guards against a keyed chat that is cancelled with its caller, so that the
+// retry with the key finds no answer.
+func TestKeyedChatOutlivesItsCaller(t *testing.T) {
+	h := newHarness(t, nil)
+	h.engines["e1"].SetFault(fakes.EngineFault{SlowMillis: 10})
+	for _, stream := range []bool{false, true} {
+		runs := len(h.runs())
+		key := fmt.Sprint("k", stream)
+		ctx, cancel := context.WithCancel(context.Background())
+		r, _ := http.NewRequestWithContext(ctx, "POST", h.url+"/v1/chat/completions", strings.NewReader(chatBody("small", "x", stream)))
+		r.Header.Set("Authorization", "Bearer "+secret)
+		r.Header.Set("Idempotency-Key", key)
+		time.AfterFunc(100*time.Millisecond, cancel)
+		resp, err := http.DefaultClient.Do(r)
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+		}
+		if err == nil {
+			t.Fatal("the answer ended before its caller went away")
+		}
+		got := h.do("POST", "/v1/chat/completions", chatBody("small", "x", stream), "Idempotency-Key", key)
+		if got.status != 200 || strings.Contains(got.body, `"error"`) || len(h.runs()) != runs+1 {
+			t.Fatalf("stream %v: status %d, %d runs: %s", stream, got.status, len(h.runs())-runs, got.body)
+		}
+	}
+	h.checkBooks()
+}
+
+// Guards against metrics that are missing or renamed.
+func TestMetrics(t *testing.T) {
+	reader := metric.NewManualReader()
+	h := newHarness(t, func(_ *harness, cfg *entry.Config) {
+		cfg.Meter = metric.NewMeterProvider(metric.WithReader(reader)).Meter("entry")
+	})
+	h.engines["e1"].SetFault(fakes.EngineFault{Refuse: true})
+	h.rating.SetFault(fakes.RatingFault{Quality: map[string]float64{"small": 0.1}})
+	h.do("POST", "/v1/chat/completions", chatBody("cascade", "x", false))
+	h.engines["e2"].SetFault(fakes.EngineFault{Break: fakes.BreakMidStream, BreakAt: 3, Count: 1})
+	h.do("POST", "/v1/chat/completions", chatBody("small", "x", false))
+	var data metricdata.ResourceMetrics
+	if err := reader.Collect(context.Background(), &data); err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, m := range data.ScopeMetrics[0].Metrics {
+		names = append(names, strings.TrimPrefix(m.Name, "jackdaw.entry.")+" "+m.Unit)
+	}
+	slices.Sort(names)
+	want := "duration s, escalations {step}, firstToken s, inProgress {request}, requests {request}, resumes {stream}, retries {attempt}, tokens {token}"
+	if got := strings.Join(names, ", "); got != want {
+		t.Fatalf("metrics %q, want %q", got, want)
+	}
+}
+
 // Guards against an issued key that runs at a VM other than its home, and
 // against a guess when the home is gone.
 func TestIssuedKeysGoToTheirHome(t *testing.T) {
@@ -574,7 +657,8 @@
 				if key == "issued-forged" {
 					return entry.KeyHome{}, true, jdaw.Fail(jdaw.CodeKeyUnknown, "forged")
 				}
-				vm, issued := strings.CutPrefix(key, "issued-")
+				rest, issued := strings.CutPrefix(key, "issued-")
+				vm, _, _ := strings.Cut(rest, "/")
 				return entry.KeyHome{VM: jdaw.VMID(vm), Self: vm == self}, issued, nil
 			}
 			cfg.Forward = func(ctx context.Context, to entry.KeyHome, q entry.Forwarded) (entry.ForwardAnswer, error) {
@@ -596,8 +680,17 @@
 	if first.body != second.body || first.status != 200 || len(home.plain.Log()) != 1 || len(other.plain.Log()) != 0 {
 		t.Fatalf("%q, %q, runs %v, %v", first.body, second.body, home.plain.Log(), other.plain.Log())
 	}
-	streamed := other.do("POST", "/v1/chat/completions", chatBody("small", "x", true), "Idempotency-Key", "issued-home2")
-	if code, ran := streamed.code(t); code != jdaw.CodeKeyHomeDead || ran != jdaw.OutcomeUnknown {
+	for _, h := range []*harness{other, home, other} {
+		got := h.do("POST", "/v1/chat/completions", chatBody("small", "x", true), "Idempotency-Key", "issued-home/2")
+		if text := sseText(t, home.runs()[0].RequestID, got.body); text != want("small@v1", "x") {
+			t.Fatalf("text %q", text)
+		}
+	}
+	if a, b := len(home.runs()), len(other.runs()); a != 1 || b != 0 {
+		t.Fatalf("the home ran %d chats, the other VM %d, want 1 and 0", a, b)
+	}
+	dead := other.do("POST", "/v1/chat/completions", chatBody("small", "x", true), "Idempotency-Key", "issued-gone")
+	if code, ran := dead.code(t); code != jdaw.CodeKeyHomeDead || ran != jdaw.OutcomeUnknown {
 		t.Fatalf("dead home: %s, %s", code, ran)
 	}
 	if code, ran := other.do("POST", "/v1/chat/completions", chatBody("small", "x", false), "Idempotency-Key", "issued-forged").code(t); code != jdaw.CodeKeyUnknown || ran != jdaw.NotRun {
