--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -114,12 +114,37 @@
 	if err == nil || jdaw.CodeOf(err).Code != jdaw.CodeOutcomeUnknown {
 		t.Fatalf("settlement after the journal was closed: %v", err)
 	}
+	// The same holds for a holder of a copy that comes too late.
+	late := jdaw.Bill{RequestID: id, Cost: 4}.WithSettlement(jdaw.CodeOK, time.Now())
+	if err := c.vms[1].Seal(ctx, sealed, []jdaw.Bill{late}); err != nil {
+		t.Fatal(err)
+	}
 	again, err := ledger.Export(ctx, c.st)
 	if err != nil || len(again) != 1 || again[0].Cost != 0 {
 		t.Fatalf("the bill changed to %+v, %v", again, err)
 	}
 }
 
+// Guards against two sealers whose settlements of a request differ: the first
+// in the journal counts, in any order of opened and settled entries.
+func TestFirstSettlementCounts(t *testing.T) {
+	c := newCluster(t, 2)
+	ctx := context.Background()
+	opened := jdaw.Bill{RequestID: "a-1", State: jdaw.BillOpen}
+	for _, b := range []jdaw.Bill{
+		opened, opened.WithSettlement(jdaw.CodeOK, time.Now()), opened,
+		opened.WithSettlement(jdaw.CodeUpstreamFailed, time.Now()),
+	} {
+		if err := c.vms[1].Seal(ctx, "a", []jdaw.Bill{b}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	bills, err := ledger.Export(ctx, c.st)
+	if err != nil || len(bills) != 1 || bills[0].Code != jdaw.CodeOK {
+		t.Fatalf("%+v, %v", bills, err)
+	}
+}
+
 // Guards against a last VM that stops serving, and against one that answers
 // before its record is safe.
 func TestSingleVM(t *testing.T) {
