Probe each member once a period and spread all new changes at once

Cause: with a random order of probes at each VM, the time to the first probe of a failed VM has a long tail: at 400 VMs a member waits for more than three periods with a probability of 5 %. Changes beyond the first eight waited for the periodic probes.

Change: the VMs share a ring in the order of a hash, and the distance of the probed member grows by one each period. Messages to two members a tick go on while a change has not been sent. The ring is kept until a state changes, and Rendezvous sorts without a map.

--- a/peers/machine.go
+++ b/peers/machine.go
@@ -3,6 +3,7 @@
 import (
 	"math/bits"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -64,8 +65,8 @@
 	hasList   bool
 	rng       *rand.Rand
 	members   map[jdaw.VMID]*member
-	order     []jdaw.VMID // of probes; shuffled for each round
-	next      int
+	slot      int64             // of the last probe, in periods since 1970
+	ring      []jdaw.VMID       // order of probes; nil after a change of states
 	pending   map[jdaw.VMID]int // transmissions of each member's last change
 	helping   map[jdaw.VMID]int // indirect probes without a result, by target
 	list      []ListedVM        // as read by this process
@@ -82,7 +83,6 @@
 	contactAt  time.Time
 	aloneAt    time.Time // when no other VM was known last
 	isolatedAt time.Time
-	probeAt    time.Time
 	rejoinAt   time.Time
 	listAt     time.Time
 }
@@ -179,13 +179,13 @@
 	m.checkIsolation(at)
 	m.expire(at)
 	var out []jdaw.Action
-	if at.Sub(m.probeAt) >= probePeriod {
-		m.probeAt = at
+	if slot := at.UnixMilli() / probePeriod.Milliseconds(); slot != m.slot {
+		m.slot = slot
 		out = append(out, m.probeNext(at)...)
 	}
 	if m.fresh {
-		m.fresh = false
 		out = append(out, m.spreadNow(at)...)
+		m.fresh = m.hasUnsent()
 	}
 	if at.Sub(m.rejoinAt) >= m.rejoinWait() {
 		m.rejoinAt = at
@@ -294,7 +294,14 @@
 // expire declares suspects dead and forgets old dead members. An isolated VM
 // declares nobody dead: it is itself the one that is cut off.
 func (m *Machine) expire(at time.Time) {
-	for _, vm := range m.sortedVMs() {
+	var vms []jdaw.VMID
+	for vm, row := range m.members {
+		if row.State != jdaw.MemberAlive {
+			vms = append(vms, vm)
+		}
+	}
+	slices.Sort(vms) // the order of a map must not show in the actions
+	for _, vm := range vms {
 		row := m.members[vm]
 		switch {
 		case row.State == jdaw.MemberSuspect && !m.isolated && at.Sub(row.suspectAt) >= suspicionTimeout:
@@ -330,6 +337,16 @@
 	return out
 }
 
+// hasUnsent reports whether more changes wait than one message takes.
+func (m *Machine) hasUnsent() bool {
+	for _, sent := range m.pending {
+		if sent == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Machine) probe(at time.Time, row *member, addr string) SendProbe {
 	m.probes++
 	updates := []Update{m.update(m.members[m.self])}
@@ -340,22 +357,20 @@
 	return SendProbe{Target: row.VM, Addr: addr, SentAt: at, Exchange: x}
 }
 
-// nextTarget returns the next member of the round. Each round visits every
-// member once, which bounds the time to the detection of a failure.
+// nextTarget returns the member at a distance on the ring that grows by one
+// each period. As the VMs share the ring and, roughly, the clock, each member
+// is probed once a period. With a random order at each VM a member waits for
+// more than three periods with a probability of 5 %, (1-1/399)^(3*399).
 func (m *Machine) nextTarget() *member {
-	for round := 0; round < 2; round++ {
-		for m.next < len(m.order) {
-			row := m.members[m.order[m.next]]
-			m.next++
-			if row != nil && row.State != jdaw.MemberDead {
-				return row
-			}
-		}
-		m.order = m.liveOthers()
-		m.rng.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
-		m.next = 0
+	if m.ring == nil {
+		m.ring = jdaw.Rendezvous("probe", append(m.liveOthers(), m.self))
 	}
-	return nil
+	n := len(m.ring)
+	if n < 2 {
+		return nil
+	}
+	distance := 1 + int(m.slot%int64(n-1))
+	return m.members[m.ring[(slices.Index(m.ring, m.self)+distance)%n]]
 }
 
 func (m *Machine) liveOthers() []jdaw.VMID {
@@ -494,6 +509,7 @@
 	m.pending[vm] = 0
 	m.urgent = true
 	m.fresh = true
+	m.ring = nil
 }
 
 // raiseSelf announces this process with a number above what others have seen.
@@ -565,12 +581,6 @@
 	row := &member{Member: u.Member, number: u.Number, draining: u.Draining, suspectAt: at, knownAt: at}
 	m.members[u.Member.VM] = row
 	m.announce(u.Member.VM)
-	// A random place in the rest of the round keeps new members from being
-	// probed by all VMs in the same order.
-	i := m.next + m.rng.IntN(len(m.order)-m.next+1)
-	m.order = append(m.order, "")
-	copy(m.order[i+1:], m.order[i:])
-	m.order[i] = u.Member.VM
 }
 
 func (m *Machine) replace(at time.Time, row *member, u Update) {
@@ -580,9 +590,6 @@
 	if u.Member.State == jdaw.MemberDead {
 		row.deadAt = at
 	}
-	if row.State == jdaw.MemberDead && u.Member.State != jdaw.MemberDead {
-		m.order = append(m.order, row.VM)
-	}
 	// Draining ends only with the life that announced it.
 	sameLife := row.Incarnation == u.Member.Incarnation
 	if !sameLife {
--- a/rendezvous.go
+++ b/rendezvous.go
@@ -13,18 +13,24 @@
 // Rendezvous returns the ids in the order of their rendezvous hash for key.
 // When one id leaves, the order of the others does not change.
 func Rendezvous(key string, vms []VMID) []VMID {
-	out := append([]VMID(nil), vms...)
-	hash := make(map[VMID]uint64, len(out))
-	for _, vm := range out {
-		hash[vm] = xxhash.Sum64String(key + "\x00" + string(vm))
+	type hashed struct {
+		vm   VMID
+		hash uint64
 	}
-	sort.Slice(out, func(i, j int) bool {
-		a, b := out[i], out[j]
-		if hash[a] != hash[b] {
-			return hash[a] > hash[b]
+	list := make([]hashed, 0, len(vms))
+	for _, vm := range vms {
+		list = append(list, hashed{vm: vm, hash: xxhash.Sum64String(key + "\x00" + string(vm))})
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].hash != list[j].hash {
+			return list[i].hash > list[j].hash
 		}
-		return a < b
+		return list[i].vm < list[j].vm
 	})
+	out := make([]VMID, 0, len(list))
+	for _, h := range list {
+		out = append(out, h.vm)
+	}
 	return out
 }
 
