Report a pause before queued events, and drain a VM that operators take out

Cause: the loop looked for a gap once a batch, so events queued before a pause could be handled on stale state; posts could reach the loop before it was assigned; a VM that was drained from outside left the entry lists but never ended. Change: the gap is checked before each event; posts wait for the loop; serve drains on the VM list's mark and on the configuration's. Conclusion: a test pauses the loop in the middle of a batch; it fails with the old order.

--- a/cmd/jackdawbarrow/serve.go
+++ b/cmd/jackdawbarrow/serve.go
@@ -46,7 +46,10 @@
 		return err
 	}
 	log.WithFields(logrus.Fields{"vm": settings.VM, "callers": p.Settings().Listen.Callers}).Info("serving")
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-p.Draining():
+	}
 	log.Info("draining; requests in progress are finished")
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
 	defer cancel()
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -44,6 +44,7 @@
 	cfg  Config
 	wg   conc.WaitGroup
 	stop chan struct{}
+	last time.Time // of the last tick; only the loop's goroutine uses it
 
 	mu    sync.Mutex
 	queue []jdaw.Event
@@ -85,17 +86,11 @@
 func (l *Loop) run() {
 	ticker := time.NewTicker(l.cfg.Tick)
 	defer ticker.Stop()
-	last := l.cfg.Clock.Now()
+	l.last = l.cfg.Clock.Now()
 	for {
-		// The tick is handled first: after a pause of the process it must
-		// reach the machines before events that were queued meanwhile, or an
-		// owner would grant credits in the belief that no time has passed.
-		now := l.cfg.Clock.Now()
-		if gap := now.Sub(last); gap >= l.cfg.Tick {
-			last = now
-			l.handle(now, jdaw.Tick{Gap: gap})
-		}
+		l.tickIfDue()
 		for _, ev := range l.take() {
+			l.tickIfDue()
 			l.handle(l.cfg.Clock.Now(), ev)
 		}
 		select {
@@ -107,6 +102,20 @@
 	}
 }
 
+// tickIfDue sends a tick if the period has passed. It is called before each
+// event: after a pause of the process the tick must reach the machines before
+// events that were queued meanwhile, or an owner would grant credits in the
+// belief that no time has passed.
+func (l *Loop) tickIfDue() {
+	now := l.cfg.Clock.Now()
+	gap := now.Sub(l.last)
+	if gap < l.cfg.Tick {
+		return
+	}
+	l.last = now
+	l.handle(now, jdaw.Tick{Gap: gap})
+}
+
 func (l *Loop) take() []jdaw.Event {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/loop/loop_test.go
+++ b/loop/loop_test.go
@@ -45,3 +45,44 @@
 		t.Fatal("the emitted event did not come back within 5 s")
 	}
 }
+
+// blocker stands for a pause of the process in the middle of a batch.
+type blocker struct{ d time.Duration }
+
+func (blocker) EventName() string { return "blocker" }
+
+type sequence struct{ names chan string }
+
+func (s *sequence) Handle(_ time.Time, ev jdaw.Event) []jdaw.Action {
+	switch ev := ev.(type) {
+	case blocker:
+		time.Sleep(ev.d)
+	case jdaw.Tick:
+		if ev.Gap >= time.Second {
+			s.names <- "gap"
+		}
+	case ping:
+		s.names <- "ping"
+	}
+	return nil
+}
+
+// An event that was queued before a pause must not be handled before the tick
+// that reports the pause, or an owner would grant a credit on stale state.
+func TestGapIsReportedBeforeQueuedEvents(t *testing.T) {
+	s := &sequence{names: make(chan string, 4)}
+	l := loop.New(loop.Config{Machines: []jdaw.Machine{s}, Execute: func(jdaw.Action) {}})
+	defer l.Close()
+	l.Post(blocker{d: 1200 * time.Millisecond})
+	l.Post(ping{})
+	for _, want := range []string{"gap", "ping"} {
+		select {
+		case got := <-s.names:
+			if got != want {
+				t.Fatalf("got %s, want %s", got, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("no %s within 5 s", want)
+		}
+	}
+}
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -126,7 +126,10 @@
 	}
 	out := p.Settings()
 	fmt.Printf("ready %s %s %s\n", out.Listen.Callers, out.Listen.Peers, out.Listen.Admin)
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-p.Draining():
+	}
 	drain, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	p.Drain(drain)
--- a/serve/process.go
+++ b/serve/process.go
@@ -42,7 +42,12 @@
 	settings config.Settings
 	log      *logrus.Entry
 
-	loop   *loop.Loop
+	loop    *loop.Loop
+	looping chan struct{} // closed when loop is assigned
+	// draining is closed when the platform or an operator takes this VM out.
+	draining chan struct{}
+	drained  bool // only the loop's goroutine uses it
+
 	peers  *peers.Node
 	spread *spread.Node
 	owner  *owner.Node
@@ -70,7 +75,7 @@
 	if cfg.Log == nil {
 		cfg.Log = logrus.New()
 	}
-	p := &Process{settings: cfg.Settings}
+	p := &Process{settings: cfg.Settings, looping: make(chan struct{}), draining: make(chan struct{})}
 	p.log = cfg.Log.WithField("vm", string(cfg.Settings.VM))
 	l, err := p.listen()
 	if err != nil {
@@ -127,7 +132,12 @@
 	return inc
 }
 
-func (p *Process) post(ev jdaw.Event) { p.loop.Post(ev) }
+// post sends an event to the loop. It waits for the loop to be assigned, since
+// the loop's goroutine executes actions before loop.New has returned.
+func (p *Process) post(ev jdaw.Event) {
+	<-p.looping
+	p.loop.Post(ev)
+}
 
 func (p *Process) buildControl() {
 	s := p.settings
@@ -158,11 +168,13 @@
 		},
 		Execute: p.execute,
 	})
+	close(p.looping)
 }
 
 // execute gives an action to the slice that carries it out.
 func (p *Process) execute(a jdaw.Action) {
 	p.recordControl(a)
+	p.watchDrain(a)
 	if p.peers.Execute(a) || p.spread.Execute(a) || p.owner.Execute(a) {
 		return
 	}
@@ -170,6 +182,25 @@
 	p.casc.Execute(a)
 }
 
+// Draining is closed when the VM list marks this VM as leaving or an operator
+// drains it. The caller then calls Drain, as it does on SIGTERM.
+func (p *Process) Draining() <-chan struct{} { return p.draining }
+
+func (p *Process) watchDrain(a jdaw.Action) {
+	leaving := false
+	switch a := a.(type) {
+	case jdaw.ViewChanged:
+		self, ok := a.View.Member(p.settings.VM)
+		leaving = ok && self.State == jdaw.MemberDraining
+	case config.Adopted:
+		leaving = a.Snapshot.IsDraining(p.settings.VM)
+	}
+	if leaving && !p.drained {
+		p.drained = true
+		close(p.draining)
+	}
+}
+
 // Drain refuses new work after the entry list has had time to expire, waits
 // for the requests in progress and ends the process.
 func (p *Process) Drain(ctx context.Context) {
