--- a/config/change.go
+++ b/config/change.go
@@ -228,6 +228,9 @@
 
 func (d *Document) rollout(op Op, at time.Time) error {
 	mv := jdaw.ParseModelVersion(op.Name)
+	if op.Kind == OpStartRollout {
+		d.addVersion(mv)
+	}
 	v, err := d.version(op.Name)
 	if err != nil {
 		return err
@@ -254,6 +257,18 @@
 	return unknown(ObjectRollout, op.Name)
 }
 
+// addVersion adds a version that its model does not have yet.
+func (d *Document) addVersion(mv jdaw.ModelVersion) {
+	if mv.Version == "" || d.hasVersion(mv.Model, mv.Version) {
+		return
+	}
+	for i := range d.Models {
+		if d.Models[i].Name == mv.Model {
+			d.Models[i].Versions = append(d.Models[i].Versions, Version{Name: mv.Version, State: VersionRollout})
+		}
+	}
+}
+
 func (d *Document) startRollout(mv jdaw.ModelVersion, v *Version, share float64, at time.Time) error {
 	if v.State == VersionWithdrawn {
 		return jdaw.Fail(jdaw.CodeInvalidChange, "version %s is withdrawn", mv)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -91,6 +91,16 @@
 			op:   config.Op{Kind: config.OpRemove, Object: config.ObjectModel, Name: "small"},
 			code: jdaw.CodeInvalidChange,
 		},
+		"roll out a new version": {
+			op: config.Op{Kind: config.OpStartRollout, Name: "small@v3", Share: 5},
+			ok: func(d config.Document) bool {
+				return len(d.Rollouts) == 1 && d.Models[0].Versions[2] == config.Version{Name: "v3", State: config.VersionRollout}
+			},
+		},
+		"roll out a version of an unknown model": {
+			op:   config.Op{Kind: config.OpStartRollout, Name: "x@v3", Share: 5},
+			code: jdaw.CodeUnknownObject,
+		},
 		"finish a roll-out that is not under way": {
 			op:   config.Op{Kind: config.OpFinishRollout, Name: "small@v2"},
 			code: jdaw.CodeUnknownObject,
--- a/demo/caller.go
+++ b/demo/caller.go
@@ -52,6 +52,7 @@
 	Code       jdaw.Code // of a refusal; CodeOK for an answer
 	Ran        jdaw.Ran
 	RequestID  string
+	Model      string // "model@version" of the answer
 	Text       string
 	Session    string
 	FirstToken time.Duration
@@ -196,6 +197,7 @@
 	reply.Status = resp.StatusCode
 	reply.Session = resp.Header.Get("X-Jackdaw-Session")
 	reply.RequestID = resp.Header.Get("X-Jackdaw-Request-Id")
+	reply.Model = resp.Header.Get("X-Jackdaw-Model")
 	if q.Stream && resp.StatusCode == http.StatusOK {
 		return readStream(resp.Body, reply, start)
 	}
--- a/demo/work.go
+++ b/demo/work.go
@@ -99,12 +99,14 @@
 	Messages []chatMessage `json:"messages"`
 }
 
-// ChatBody makes the body of a chat request.
+// ChatBody makes the body of a chat request; an empty system text is left out.
 func ChatBody(model string, stream bool, system, user string) []byte {
-	b, err := json.Marshal(chatCall{
-		Model: model, Stream: stream,
-		Messages: []chatMessage{{Role: "system", Content: system}, {Role: "user", Content: user}},
-	})
+	call := chatCall{Model: model, Stream: stream}
+	if system != "" {
+		call.Messages = append(call.Messages, chatMessage{Role: "system", Content: system})
+	}
+	call.Messages = append(call.Messages, chatMessage{Role: "user", Content: user})
+	b, err := json.Marshal(call)
 	if err != nil {
 		panic(err) // strings always encode
 	}
