--- a/config/settings.go
+++ b/config/settings.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
 	"net/url"
@@ -171,7 +172,14 @@
 }
 
 // DecodeStrict decodes YAML and rejects unknown fields.
-func DecodeStrict(file string, b []byte, into any) Faults {
+func DecodeStrict(file string, b []byte, into any) (faults Faults) {
+	// The YAML library panics on some malformed documents, such as
+	// a tag without a name before a number; for the user that is a fault of the file.
+	defer func() {
+		if r := recover(); r != nil {
+			faults = Faults{{File: file, Message: fmt.Sprintf("not valid YAML: %v", r)}}
+		}
+	}()
 	err := yaml.UnmarshalWithOptions(b, into, yaml.Strict())
 	if err == nil {
 		return nil
