Use one rendezvous hash and one choice of the judge

Cause: owner.Rank, the judge hash of guard and jdaw.Rendezvous were three hashes, ledger had a fourth. owner.JudgeOf and guard.Judge answered the same question with different hashes, so owners sent their counts to one VM while another VM considered itself the judge, and no version was ever judged unless both happened to agree. The start of a roll-out was read from the clock again each time a change was applied after a conflict.

A change is applied with the time of its first attempt.

--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -127,7 +127,7 @@
 func TestJudgeChange(t *testing.T) {
 	vms := []jdaw.VMID{"vm1", "vm2", "vm3"}
 	v := view(vms...).View
-	judge, ok := guard.Judge(v, "scot-west", candidate)
+	judge, ok := guard.Judge(v, config.NewSnapshot(document(), nil), "scot-west", candidate)
 	if !ok {
 		t.Fatal("no judge among three serving VMs")
 	}
--- a/guard/judge.go
+++ b/guard/judge.go
@@ -1,29 +1,18 @@
 package guard
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"jackdawbarrow"
 	"jackdawbarrow/config"
 )
 
 // Judge returns the member that decides about a version: the first by
-// rendezvous hash over the serving members of the region. Regions judge on
-// their own, because they may lose contact with each other.
-func Judge(view *jdaw.View, region jdaw.Region, version jdaw.ModelVersion) (jdaw.Member, bool) {
-	var best jdaw.Member
-	var highest uint64
-	found := false
-	for _, m := range view.Members {
-		if !m.IsServing() || m.Region != region {
-			continue
-		}
-		h := xxhash.Sum64String(string(m.VM) + "\x00" + version.String())
-		if !found || h > highest || (h == highest && m.VM < best.VM) {
-			best, highest, found = m, h, true
-		}
-	}
-	return best, found
+// rendezvous hash over the members of the region that serve and are not being
+// drained. Regions judge on their own, because they may lose contact with each
+// other.
+func Judge(view *jdaw.View, snap *config.Snapshot, region jdaw.Region, version jdaw.ModelVersion) (jdaw.Member, bool) {
+	return view.First(version.String(), func(m *jdaw.Member) bool {
+		return m.Region == region && m.IsServing() && !snap.IsDraining(m.VM)
+	})
 }
 
 // Watch is a version in roll-out with the version that it is compared to. Pool
--- a/guard/machine.go
+++ b/guard/machine.go
@@ -351,7 +351,7 @@
 		return "", false
 	}
 	self, _ := m.view.Member(m.view.Self)
-	judge, ok := Judge(m.view, self.Region, t.watch.Version)
+	judge, ok := Judge(m.view, m.snap, self.Region, t.watch.Version)
 	return judge.VM, ok
 }
 
--- a/ledger/copies.go
+++ b/ledger/copies.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
@@ -141,7 +140,7 @@
 	var all []ranked
 	for _, m := range view.Serving() {
 		if m.VM != l.cfg.VM {
-			all = append(all, ranked{m, rank(m), rendezvous(inc, m.VM)})
+			all = append(all, ranked{m, rank(m), jdaw.RendezvousWeight(string(inc), m.VM)})
 		}
 	}
 	sort.Slice(all, func(i, j int) bool {
@@ -165,10 +164,6 @@
 	return out
 }
 
-func rendezvous(inc jdaw.Incarnation, vm jdaw.VMID) uint64 {
-	return xxhash.Sum64String(string(inc) + "/" + string(vm))
-}
-
 // holders is what this VM keeps for other VMs' journals.
 type holders struct {
 	mu      sync.Mutex
@@ -334,7 +329,7 @@
 func (l *Ledger) isFirstSealer(view *jdaw.View, inc jdaw.Incarnation) bool {
 	best, first := uint64(0), jdaw.VMID("")
 	for _, m := range view.Serving() {
-		if hash := rendezvous(inc, m.VM); first == "" || hash > best {
+		if hash := jdaw.RendezvousWeight(string(inc), m.VM); first == "" || hash > best {
 			best, first = hash, m.VM
 		}
 	}
--- a/owner/choice_test.go
+++ b/owner/choice_test.go
@@ -168,7 +168,7 @@
 	for i := range plants {
 		plants[i] = &plant{}
 		recent[i] = map[uint64]time.Time{}
-		candidates[i] = route.Candidate{Hash: owner.Rank("u", jdaw.VMID(fmt.Sprint(i))), Limit: 1 << 20, Usable: true}
+		candidates[i] = route.Candidate{Hash: jdaw.RendezvousWeight("u", jdaw.VMID(fmt.Sprint(i))), Limit: 1 << 20, Usable: true}
 	}
 	var report func()
 	report = func() {
--- a/owner/machine.go
+++ b/owner/machine.go
@@ -6,6 +6,7 @@
 
 	"jackdawbarrow"
 	"jackdawbarrow/config"
+	"jackdawbarrow/guard"
 	"jackdawbarrow/route"
 )
 
@@ -787,7 +788,7 @@
 			}
 		}
 		version := jdaw.ModelVersion{Model: r.Model, Version: r.Version}
-		judge, ok := JudgeOf(m.view, m.snap, m.snap.Region(p.id.DataCentre), version)
+		judge, ok := guard.Judge(m.view, m.snap, m.snap.Region(p.id.DataCentre), version)
 		if len(counts) == 0 || !ok {
 			continue
 		}
--- a/owner/ownership.go
+++ b/owner/ownership.go
@@ -1,8 +1,6 @@
 package owner
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"jackdawbarrow"
 	"jackdawbarrow/config"
 )
@@ -12,17 +10,6 @@
 // failed VM from a failed connection.
 const minListedInDataCentre = 5
 
-// Rank is the weight of vm for key in a rendezvous hash; the highest wins.
-func Rank(key string, vm jdaw.VMID) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	// Writes to the digest never fail.
-	_, _ = d.WriteString(key)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(string(vm))
-	return d.Sum64()
-}
-
 // group is the owner group of one data centre as one view shows it.
 type group struct {
 	dataCentre   jdaw.DataCentre
@@ -52,44 +39,9 @@
 // can own it.
 func Of(view *jdaw.View, snap *config.Snapshot, pool jdaw.PoolID) (jdaw.Member, bool) {
 	g := groupOf(view, snap, pool.DataCentre)
-	key := pool.String()
-	best := -1
-	bestRank := uint64(0)
-	for i := range view.Members {
-		m := &view.Members[i]
-		if !g.has(m) || !m.IsServing() || snap.IsDraining(m.VM) {
-			continue
-		}
-		rank := Rank(key, m.VM)
-		if best < 0 || rank > bestRank {
-			best, bestRank = i, rank
-		}
-	}
-	if best < 0 {
-		return jdaw.Member{}, false
-	}
-	return view.Members[best], true
-}
-
-// JudgeOf returns the VM of the region that judges the version.
-func JudgeOf(view *jdaw.View, snap *config.Snapshot, region jdaw.Region, version jdaw.ModelVersion) (jdaw.Member, bool) {
-	key := version.String()
-	best := -1
-	bestRank := uint64(0)
-	for i := range view.Members {
-		m := &view.Members[i]
-		if m.Region != region || !m.IsServing() || snap.IsDraining(m.VM) {
-			continue
-		}
-		rank := Rank(key, m.VM)
-		if best < 0 || rank > bestRank {
-			best, bestRank = i, rank
-		}
-	}
-	if best < 0 {
-		return jdaw.Member{}, false
-	}
-	return view.Members[best], true
+	return view.First(pool.String(), func(m *jdaw.Member) bool {
+		return g.has(m) && m.IsServing() && !snap.IsDraining(m.VM)
+	})
 }
 
 // hasMajority reports whether enough of the owner group is alive for its
--- a/rendezvous.go
+++ b/rendezvous.go
@@ -10,24 +10,58 @@
 // the VM list, so that the load on both services does not grow with the VMs.
 const watchersPerDataCentre = 2
 
+// RendezvousWeight is the weight of vm for key in a rendezvous hash; the highest
+// wins. All VMs must compute the same weights, so this is the only such hash.
+func RendezvousWeight(key string, vm VMID) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	// Writes to the digest never fail. They keep the hash free of allocations.
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(string(vm))
+	return d.Sum64()
+}
+
 // Rendezvous returns the ids in the order of their rendezvous hash for key.
 // When one id leaves, the order of the others does not change.
 func Rendezvous(key string, vms []VMID) []VMID {
 	out := append([]VMID(nil), vms...)
-	hash := make(map[VMID]uint64, len(out))
+	weight := make(map[VMID]uint64, len(out))
 	for _, vm := range out {
-		hash[vm] = xxhash.Sum64String(key + "\x00" + string(vm))
+		weight[vm] = RendezvousWeight(key, vm)
 	}
 	sort.Slice(out, func(i, j int) bool {
 		a, b := out[i], out[j]
-		if hash[a] != hash[b] {
-			return hash[a] > hash[b]
+		if weight[a] != weight[b] {
+			return weight[a] > weight[b]
 		}
 		return a < b
 	})
 	return out
 }
 
+// First returns the member that comes first by rendezvous hash for key among
+// those for which eligible is true, or false if there is none.
+func (v View) First(key string, eligible func(m *Member) bool) (Member, bool) {
+	best := -1
+	highest := uint64(0)
+	for i := range v.Members {
+		m := &v.Members[i]
+		if !eligible(m) {
+			continue
+		}
+		weight := RendezvousWeight(key, m.VM)
+		isTie := best >= 0 && weight == highest && m.VM < v.Members[best].VM
+		if best < 0 || weight > highest || isTie {
+			best, highest = i, weight
+		}
+	}
+	if best < 0 {
+		return Member{}, false
+	}
+	return v.Members[best], true
+}
+
 // Watchers returns the VMs of the data centre that watch the configuration
 // and read the VM list.
 func (v View) Watchers(dc DataCentre) []VMID {
--- a/serve/admin.go
+++ b/serve/admin.go
@@ -31,9 +31,12 @@
 }
 
 func (c changer) Submit(ctx context.Context, change config.Change) (admin.Result, error) {
+	// The change is applied again after a conflict and must give the same
+	// document each time, including the start of a roll-out.
+	at := time.Now()
 	result, err := c.node.Submit(ctx, spread.Change{
 		ID: change.ID, Base: change.BaseRevision, Objects: change.ObjectNames(),
-		Apply: func(d config.Document) (config.Document, error) { return d.Apply(change, time.Now()) },
+		Apply: func(d config.Document) (config.Document, error) { return d.Apply(change, at) },
 	})
 	return resultOf(result), err
 }
