Bound pending requests of a roll-out and report both versions to its judge

Nothing bounded how many requests of a new version ran before the judge had seen their outcomes. The entry retried a request that the new version had failed on the new version again, did not set Escalated, and learned nothing from cascades without a rating service.

Change: the owner counts the versions of guard.Watches, goes on sending them after it has lost the pool until the roll-out ends, sends at once to a new judge, and counts from zero under a new counter when a roll-out is started again; the judge ignores counts of owners that have not seen its start. The number of credits granted and not confirmed by OutcomesReply is bounded by guard.Allowance: beyond it the next version of the request's list is taken, else the request waits. Credits that end without an outcome give their place back. The entry retries on the stable version, gives the new version to a workspace that may use no other, and marks outcomes of escalated steps.

--- a/entry/cascade.go
+++ b/entry/cascade.go
@@ -24,10 +24,10 @@
 	if c.e.cfg.Planner != nil {
 		step = min(max(0, c.e.cfg.Planner.Start(plan)), len(models)-1)
 	}
-	var best *answer
+	var best *answer // rejected, but better than an error
 	for {
 		c.bill.Steps++
-		a, next, more, err := c.runStep(plan, step)
+		a, next, more, err := c.runStep(plan, step, best != nil)
 		if err != nil {
 			// The answer of an earlier step is better than an error, unless
 			// chunks of this one have been delivered already.
@@ -68,12 +68,12 @@
 
 // runStep runs one step. more is false if its answer is to be delivered; it
 // has then been given to the caller, except for its end.
-func (c *chatRequest) runStep(plan jdaw.PlanRequest, step int) (a *answer, next int, more bool, err error) {
+func (c *chatRequest) runStep(plan jdaw.PlanRequest, step int, escalated bool) (a *answer, next int, more bool, err error) {
 	model := plan.Models[step]
 	if step == len(plan.Models)-1 || c.e.cfg.Rater == nil || c.e.cfg.Planner == nil {
 		a, err = c.runModel(model, c.toCaller())
 		if err == nil {
-			c.releaseAfterRating(a, true, func(rated bool, rating float64) { c.learn(plan, a, rated, rating) })
+			c.releaseAfterRating(a, true, func(rated bool, rating float64) { c.learn(plan, a, escalated, rated, rating) })
 		}
 		return a, 0, false, err
 	}
@@ -85,7 +85,7 @@
 	result := c.result(a, jdaw.OutcomeOK)
 	result.Rated, result.Rating = rated, rating
 	c.e.cfg.Credits.Release(result)
-	c.learn(plan, a, rated, rating)
+	c.learn(plan, a, escalated, rated, rating)
 	plan.Remaining = c.remaining()
 	next, more = c.e.cfg.Planner.Next(plan, step, rated, rating)
 	if more && next > step && next < len(plan.Models) {
@@ -103,12 +103,12 @@
 	return nil
 }
 
-func (c *chatRequest) learn(plan jdaw.PlanRequest, a *answer, rated bool, rating float64) {
+func (c *chatRequest) learn(plan jdaw.PlanRequest, a *answer, escalated, rated bool, rating float64) {
 	if c.e.cfg.Learner == nil {
 		return
 	}
 	c.e.cfg.Learner.Learn(jdaw.StepOutcome{
 		Workspace: plan.Workspace, Task: plan.Task, Model: a.credit.Version.Model, Rated: rated, Rating: rating,
-		Accepted: rated && rating >= plan.Target, Duration: a.took, Tokens: a.promptTokens + a.outputTokens,
+		Accepted: rated && rating >= plan.Target, Escalated: escalated, Duration: a.took, Tokens: a.promptTokens + a.outputTokens,
 	})
 }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -13,6 +13,9 @@
 	"jackdawbarrow/config"
 )
 
+// neverInRollout is above each share of a roll-out.
+const neverInRollout = 1
+
 // maxIdleResumes bounds resumes that bring no chunk.
 const maxIdleResumes = 1
 
@@ -230,6 +233,9 @@
 		if c.callerGone || !c.mayRetry(credit, err) {
 			return a, err
 		}
+		// The share of a roll-out must not make requests fail: what the new
+		// version failed is tried again on the stable one.
+		c.choice.pick = neverInRollout
 	}
 }
 
@@ -346,6 +352,9 @@
 func (c *chatRequest) releaseAfterRating(a *answer, rate bool, learn func(rated bool, rating float64)) {
 	if !rate || c.e.cfg.Rater == nil {
 		c.releaseAnswer(a, jdaw.OutcomeOK)
+		if learn != nil {
+			learn(false, 0)
+		}
 		return
 	}
 	result := c.result(a, jdaw.OutcomeOK)
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -446,3 +446,21 @@
 	}
 	return c.Choices[0].Message.Content
 }
+
+// await waits until the condition holds; it is called with the lock held.
+func (h *harness) await(condition func() bool) {
+	h.t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		h.mu.Lock()
+		ok := condition()
+		h.mu.Unlock()
+		if ok {
+			return
+		}
+		if time.Now().After(deadline) {
+			h.t.Fatal("the condition did not hold within 5 s")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/entry/model.go
+++ b/entry/model.go
@@ -241,6 +241,13 @@
 			out = append(out, mv)
 		}
 	}
+	if len(out) == 0 && ok && ro.State == config.RolloutRunning {
+		// A workspace that may use only the new version gets it whatever the
+		// share is; refusing would make the share a failure rate.
+		if mv := (jdaw.ModelVersion{Model: model, Version: ro.Version}); snap.IsAllowed(r.workspace, mv) {
+			out = append(out, mv)
+		}
+	}
 	switch {
 	case len(out) > 0:
 		return out, nil
--- a/guard/events.go
+++ b/guard/events.go
@@ -10,14 +10,19 @@
 // Counts is the event of a report by a pool owner: what one owner incarnation
 // has counted of one version in one pool since it started counting.
 type Counts struct {
-	Version          jdaw.ModelVersion `json:"version"`
-	Pool             jdaw.PoolID       `json:"pool"`
-	OwnerIncarnation jdaw.Incarnation  `json:"ownerIncarnation"`
-	OK               uint64            `json:"ok"`
-	Failed           uint64            `json:"failed"`
-	Rated            uint64            `json:"rated"`
-	RatingSum        float64           `json:"ratingSum"`
-	RatingSquareSum  float64           `json:"ratingSquareSum"`
+	Version jdaw.ModelVersion `json:"version"`
+	Pool    jdaw.PoolID       `json:"pool"`
+	// OwnerIncarnation names the owner's count. An owner that starts to count
+	// from zero again, for a roll-out that was started again, uses a new name.
+	OwnerIncarnation jdaw.Incarnation `json:"ownerIncarnation"`
+	// Revision is that of the configuration by which the owner counts; 0 if it
+	// is not known.
+	Revision        jdaw.Revision `json:"revision,omitempty"`
+	OK              uint64        `json:"ok"`
+	Failed          uint64        `json:"failed"`
+	Rated           uint64        `json:"rated"`
+	RatingSum       float64       `json:"ratingSum"`
+	RatingSquareSum float64       `json:"ratingSquareSum"`
 }
 
 // EventName implements [jdaw.Event].
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -258,3 +258,22 @@
 		t.Errorf("read back %+v, %v, want %+v", got, err, want)
 	}
 }
+
+// Guards against the counts of an earlier roll-out that an owner sends before
+// it has seen the new start: they would suspend the version at once.
+func TestCountsOfAnEarlierStartAreIgnored(t *testing.T) {
+	doc := document()
+	doc.Revision = 7
+	doc.Rollouts[0].StartedAt = start.Add(time.Hour)
+	m := judging()
+	m.Handle(start, adopted(doc))
+	old := counts(candidate, "a", 6, 6, 0, 0)
+	old.Revision = 6
+	if got := suspensions(m.Handle(start, old)); len(got) != 0 {
+		t.Errorf("suspended for old counts: %+v", got)
+	}
+	old.Revision = 7
+	if got := suspensions(m.Handle(start, old)); len(got) != 1 {
+		t.Errorf("%d suspensions for counts of the new revision, want 1", len(got))
+	}
+}
--- a/guard/machine.go
+++ b/guard/machine.go
@@ -71,6 +71,7 @@
 // trial is the test of one roll-out.
 type trial struct {
 	watch      Watch
+	revision   jdaw.Revision // from which on the roll-out was seen
 	failures   evidence
 	ratings    ratingEvidence
 	logRatio   float64 // plain ratio test, for the proposal to raise the share
@@ -137,7 +138,7 @@
 	withdrawn := m.snap.IsWithdrawn(w.Version)
 	t := m.trialOf(w.Version)
 	if t == nil || !t.watch.Rollout.StartedAt.Equal(w.Rollout.StartedAt) || t.watch.Stable != w.Stable || (t.withdrawn && !withdrawn) {
-		return &trial{watch: w, changedAt: at, outcomeAt: at, withdrawn: withdrawn}
+		return &trial{watch: w, revision: m.snap.Revision(), changedAt: at, outcomeAt: at, withdrawn: withdrawn}
 	}
 	if t.watch.Rollout != w.Rollout || t.withdrawn != withdrawn {
 		t.changedAt = at
@@ -182,7 +183,7 @@
 // count adds what is new in a report. Reports of versions that are not watched
 // yet are ignored; being cumulative, the next one brings the same again.
 func (m *Machine) count(at time.Time, c Counts) []jdaw.Action {
-	if !m.isWatched(c.Version) || !c.isValid() {
+	if !m.isWatched(c.Version) || !c.isValid() || m.isOutdated(c) {
 		return nil
 	}
 	added, ok := m.delta(c)
@@ -204,6 +205,13 @@
 	return actions
 }
 
+// isOutdated reports whether an owner that has not seen the roll-out yet sent
+// the counts: they may be those of an earlier roll-out of the version.
+func (m *Machine) isOutdated(c Counts) bool {
+	t := m.trialOf(c.Version)
+	return t != nil && c.Revision != 0 && c.Revision < t.revision
+}
+
 // delta returns what the report adds to the last one of its source. A report
 // with a lower count was overtaken by a later one.
 func (m *Machine) delta(c Counts) (Counts, bool) {
--- a/owner/events.go
+++ b/owner/events.go
@@ -139,6 +139,14 @@
 // EventName implements jdaw.Event.
 func (RevisionPullFailed) EventName() string { return "revisionPullFailed" }
 
+// CountsConfirmed says that the judge has taken the counts of a [SendCounts].
+type CountsConfirmed struct {
+	Counts []VersionCounts `json:"counts"`
+}
+
+// EventName implements jdaw.Event.
+func (CountsConfirmed) EventName() string { return "countsConfirmed" }
+
 // Grant gives a credit to the caller behind the ticket.
 type Grant struct {
 	Ticket   uint64            `json:"ticket"`
@@ -206,10 +214,12 @@
 // ActionName implements jdaw.Action.
 func (RenewAnswer) ActionName() string { return "renewAnswer" }
 
-// VersionCounts are cumulative outcomes of one version in one pool.
+// VersionCounts are cumulative outcomes of one version in one pool. Counter
+// names the count: what starts at zero again has another counter.
 type VersionCounts struct {
 	Version         jdaw.ModelVersion `json:"version"`
 	Pool            jdaw.PoolID       `json:"pool"`
+	Counter         string            `json:"counter"`
 	OK              uint64            `json:"ok"`
 	Failed          uint64            `json:"failed"`
 	Rated           uint64            `json:"rated"`
@@ -217,11 +227,13 @@
 	RatingSquareSum float64           `json:"ratingSquareSum"`
 }
 
-// SendCounts sends outcome counts of a model in roll-out to its judge.
+// SendCounts sends the outcome counts of a version in roll-out and of its
+// stable version to the judge. It is answered by [CountsConfirmed].
 type SendCounts struct {
-	Judge  jdaw.VMID       `json:"judge"`
-	Addr   string          `json:"addr"`
-	Counts []VersionCounts `json:"counts"`
+	Judge    jdaw.VMID       `json:"judge"`
+	Addr     string          `json:"addr"`
+	Revision jdaw.Revision   `json:"revision"` // that the owner counts by
+	Counts   []VersionCounts `json:"counts"`
 }
 
 // ActionName implements jdaw.Action.
--- a/owner/export_test.go
+++ b/owner/export_test.go
@@ -61,3 +61,6 @@
 	}
 	return nil
 }
+
+// View returns the member table that the machine works with.
+func (m *Machine) View() *jdaw.View { return m.view }
--- a/owner/machine.go
+++ b/owner/machine.go
@@ -24,10 +24,6 @@
 	sweepInterval = 500 * time.Millisecond
 	// statsInterval is the period of PublishStats.
 	statsInterval = time.Second
-	// countsInterval is the period of outcome counts that have changed.
-	countsInterval = 250 * time.Millisecond
-	// countsRepeat is the period of unchanged counts, against lost messages.
-	countsRepeat = time.Second
 	// maxEnded covers the credits that end while a renewal is on its way.
 	maxEnded = 1024
 	// maxPullWait bounds how long a request waits for a pull of the
@@ -57,8 +53,9 @@
 	credits map[string]*credit
 	ended   endedCredits
 	tickets map[uint64]*waiter
-	// outcomes are the counts of pools that this VM owned before.
-	outcomes map[jdaw.PoolID]outcomes
+	watches []guard.Watch // of the configuration
+	// outcomes are the counts of the pools that this VM owns or owned before.
+	outcomes []*outcomes
 	ahead    []*waiter // wait for a pull of the configuration
 	granted  uint64    // number of credits granted
 
@@ -79,8 +76,7 @@
 		credits: map[string]*credit{},
 		tickets: map[uint64]*waiter{},
 
-		ended:    endedCredits{ids: map[string]bool{}},
-		outcomes: map[jdaw.PoolID]outcomes{},
+		ended: endedCredits{ids: map[string]bool{}},
 	}
 }
 
@@ -102,6 +98,8 @@
 		m.cache(at, ev)
 	case OutstandingReported:
 		m.outstanding(at, ev)
+	case CountsConfirmed:
+		m.confirmed(at, ev)
 	case RevisionPullFailed:
 		m.pullFailed(ev.Revision)
 	case jdaw.ViewChanged:
@@ -157,9 +155,10 @@
 		return
 	}
 	m.snap = snap
+	m.watches = guard.Watches(snap)
 	for _, p := range m.order {
 		for _, c := range p.configure(at, snap) {
-			delete(m.credits, c.id)
+			m.forget(c)
 		}
 	}
 	m.reassess(at)
@@ -191,7 +190,7 @@
 		if p == nil {
 			p = newPool(id, m.cfg.NewChooser())
 			p.configure(at, m.snap)
-			p.outcomes = m.outcomes[id]
+			p.outcomes = m.outcomesOf(id)
 		}
 		kept[id] = p
 		m.order = append(m.order, p)
@@ -202,6 +201,7 @@
 		}
 	}
 	m.pools = kept
+	m.watch()
 	for _, p := range m.order {
 		active := !m.view.Isolated && hasMajority(m.view, m.snap, p.id.DataCentre)
 		m.setActive(at, p, active)
@@ -210,14 +210,13 @@
 	}
 }
 
-// lose forgets a pool, except for its outcome counts: a judge takes counts
-// that fall for a late message.
+// lose forgets a pool, except for its outcome counts, which the judge needs
+// until the roll-out ends.
 func (m *Machine) lose(p *pool) {
 	m.suspend(p)
-	m.outcomes[p.id] = p.outcomes
 	for _, u := range p.ups {
 		for _, c := range u.credits {
-			delete(m.credits, c.id)
+			m.forget(c)
 		}
 	}
 }
@@ -487,6 +486,10 @@
 		isMiss: p.expectsMiss(at, c.u, q.Prefix),
 		bucket: c.u.bucket(), grantedAt: at, renewedAt: at,
 	}
+	held.trial = p.outcomes.version(c.version)
+	if held.trial != nil {
+		held.trial.running++
+	}
 	m.credits[held.id] = held
 	c.u.add(at, held)
 	p.holders.served(c.u, q.Prefix, at)
@@ -532,7 +535,7 @@
 		}
 		wasLeaving := c.u.isLeaving()
 		c.u.end(at, c, r, m.inTime(r.Version))
-		p.outcomes.count(p.id, r)
+		p.outcomes.count(r)
 		if c.u.isLeaving() != wasLeaving {
 			p.refresh(m.snap, m.leaving)
 		}
@@ -554,10 +557,18 @@
 }
 
 func (m *Machine) free(at time.Time, c *credit) {
-	delete(m.credits, c.id)
+	m.forget(c)
 	c.u.remove(at, c)
 }
 
+// forget removes a credit from all that the upstream does not keep itself.
+func (m *Machine) forget(c *credit) {
+	delete(m.credits, c.id)
+	if c.trial != nil {
+		c.trial.running--
+	}
+}
+
 // endedCredits remembers the credits released last, so that a renewal that
 // was sent before the release does not bring them back.
 type endedCredits struct {
@@ -669,6 +680,9 @@
 			m.tickPool(at, p, sweep)
 		}
 	}
+	for _, o := range m.outcomes {
+		m.sendCounts(at, o)
+	}
 	m.publish(at)
 }
 
@@ -685,7 +699,6 @@
 	}
 	m.dispatch(at, p)
 	m.expire(at, p)
-	m.sendCounts(at, p)
 }
 
 // poll asks for load reports. The first poll of all upstreams is at once;
@@ -770,32 +783,6 @@
 	m.ahead = kept
 }
 
-// sendCounts sends the counts of all versions of models in roll-out to the
-// judge of the new version, which compares it with the others.
-func (m *Machine) sendCounts(at time.Time, p *pool) {
-	o := &p.outcomes
-	since := at.Sub(o.sentAt)
-	if len(o.counts) == 0 || since < countsInterval || (!o.changed && since < countsRepeat) {
-		return
-	}
-	o.sentAt = at
-	o.changed = false
-	for _, r := range m.snap.Doc.Rollouts {
-		var counts []VersionCounts
-		for _, c := range o.counts {
-			if c.Version.Model == r.Model {
-				counts = append(counts, c)
-			}
-		}
-		version := jdaw.ModelVersion{Model: r.Model, Version: r.Version}
-		judge, ok := guard.Judge(m.view, m.snap, m.snap.Region(p.id.DataCentre), version)
-		if len(counts) == 0 || !ok {
-			continue
-		}
-		m.emit(SendCounts{Judge: judge.VM, Addr: judge.PeerAddr, Counts: counts})
-	}
-}
-
 func (m *Machine) publish(at time.Time) {
 	if at.Sub(m.statsAt) < statsInterval {
 		return
--- a/owner/machine_test.go
+++ b/owner/machine_test.go
@@ -640,6 +640,7 @@
 		&owner.CacheReported{Pool: poolID, Changes: []owner.CacheChange{{Sequence: 1, Prefix: 2, At: epoch}}},
 		&owner.OutstandingReported{Pool: poolID, Held: []owner.Held{{Credit: "c"}}},
 		&owner.RevisionPullFailed{Revision: 3},
+		&owner.CountsConfirmed{Counts: []owner.VersionCounts{{Version: v2, Pool: poolID, Counter: "inc/5", OK: 3, RatingSum: 0.25}}},
 	}
 	for _, ev := range events {
 		b, err := json.Marshal(ev)
--- a/owner/node.go
+++ b/owner/node.go
@@ -411,12 +411,14 @@
 
 func (n *Node) sendCounts(ctx context.Context, a SendCounts) {
 	header := n.cfg.Header()
+	// This process may have adopted a newer revision since.
+	header.Revision = uint64(a.Revision)
 	in := &wire.OutcomesRequest{Header: header}
 	for _, c := range a.Counts {
 		in.Counts = append(in.Counts, &wire.VersionCounts{
 			Version:          c.Version.String(),
 			Pool:             c.Pool.String(),
-			OwnerIncarnation: header.GetIncarnation(),
+			OwnerIncarnation: c.Counter,
 			Ok:               c.OK,
 			Failed:           c.Failed,
 			Rated:            c.Rated,
@@ -426,6 +428,7 @@
 	}
 	if a.Judge == n.cfg.Self {
 		n.cfg.Outcomes(in)
+		n.cfg.Post(CountsConfirmed{Counts: a.Counts})
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -436,5 +439,7 @@
 	}
 	if err != nil {
 		n.cfg.Log.WithError(err).WithField("vm", a.Judge).Debug("outcome counts not delivered, they are repeated")
+		return
 	}
+	n.cfg.Post(CountsConfirmed{Counts: a.Counts})
 }
--- a/owner/pool.go
+++ b/owner/pool.go
@@ -47,7 +47,8 @@
 	bucket      int
 	grantedAt   time.Time
 	renewedAt   time.Time
-	deadAt      time.Time // when the holder was declared dead; zero if alive
+	deadAt      time.Time        // when the holder was declared dead; zero if alive
+	trial       *versionOutcomes // nil if the version is not counted
 }
 
 // asked is a member whose holdings a new owner needs.
@@ -82,7 +83,8 @@
 	meanDuration float64 // nanoseconds
 	durations    int
 	stats        PoolStats
-	outcomes     outcomes
+	outcomes     *outcomes
+	trials       []trial
 }
 
 func newPool(id jdaw.PoolID, chooser route.Chooser) *pool {
@@ -240,7 +242,7 @@
 			c.limit += p.candidates[i].Limit
 		}
 	}
-	if !c.usable {
+	if !c.usable || p.isSpent(id) {
 		return c
 	}
 	if u := p.byID[q.Prefer]; u != nil && p.candidates[u.pos].IsFree() {
--- a/serve/peer.go
+++ b/serve/peer.go
@@ -127,6 +127,7 @@
 			Version: jdaw.ParseModelVersion(c.Version), Pool: jdaw.ParsePoolID(c.Pool),
 			OwnerIncarnation: jdaw.Incarnation(c.OwnerIncarnation), OK: c.Ok, Failed: c.Failed,
 			Rated: c.Rated, RatingSum: c.RatingSum, RatingSquareSum: c.RatingSquareSum,
+			Revision: jdaw.Revision(in.GetHeader().GetRevision()),
 		})
 	}
 }
