Record emitted events and decisions, and replay the owner

Cause: a trace held only the events from outside, so a replay without the machines of peers and spread had no member table and no configuration, and events that carry whole documents with keys went into the trace. The end of a trace was lost because the recorder was never flushed. The replay covered guard and casc only and did not know what the process had decided.

Change: the loop also records emitted events and decisions; the recorder keeps what the registry can read back and leaves out all other events. A trace begins with the VM and incarnation of its process, from which replay makes the machines of owner, guard and casc, and compares its decisions with the recorded ones. Rules state the invariants of grants: withdrawn versions, limits, cold limits, the allowance of a roll-out. The process opens and flushes its own trace (setting record), so the demo can record too.

--- a/casc/measure_test.go
+++ b/casc/measure_test.go
@@ -254,7 +254,7 @@
 	m := casc.NewMachine(casc.MachineConfig{})
 	p := casc.NewPlanner(casc.PlannerConfig{})
 	var got bytes.Buffer
-	rec := replay.NewRecorder(&got)
+	rec := replay.NewRecorder(&got, replay.Standard())
 	at := start
 	handle := func(ev jdaw.Event) []jdaw.Action {
 		rec.Record(at, ev)
--- a/cmd/jackdawbarrow/serve.go
+++ b/cmd/jackdawbarrow/serve.go
@@ -32,16 +32,7 @@
 	if err != nil {
 		return err
 	}
-	cfg := serve.Config{Settings: settings, Log: log}
-	if settings.Record != "" {
-		f, err := os.Create(settings.Record)
-		if err != nil {
-			return errors.Wrap(err, "create trace")
-		}
-		defer func() { _ = f.Close() }() // the trace is written without a buffer
-		cfg.Trace = f
-	}
-	p, err := serve.New(ctx, cfg)
+	p, err := serve.New(ctx, serve.Config{Settings: settings, Log: log})
 	if err != nil {
 		return err
 	}
@@ -94,6 +85,7 @@
 	Callers   int           `default:"16" help:"Concurrent callers."`
 	Seed      uint64        `default:"1" help:"Seed of the requests."`
 	Verbose   bool          `help:"Show the log of the entry VMs."`
+	Record    string        `type:"existingdir" help:"Directory for one trace per VM."`
 }
 
 // Run implements the command.
@@ -107,6 +99,6 @@
 		log.SetLevel(logrus.ErrorLevel)
 	}
 	return demo.Run(ctx, demo.Config{
-		Shape: shape, Duration: c.Duration, Callers: c.Callers, Seed: c.Seed, Out: os.Stdout, Log: log,
+		Shape: shape, Duration: c.Duration, Callers: c.Callers, Seed: c.Seed, Out: os.Stdout, Log: log, RecordDir: c.Record,
 	})
 }
--- a/cmd/jackdawbarrow/trace.go
+++ b/cmd/jackdawbarrow/trace.go
@@ -6,9 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"jackdawbarrow"
-	"jackdawbarrow/casc"
-	"jackdawbarrow/guard"
 	"jackdawbarrow/replay"
 )
 
@@ -32,18 +29,19 @@
 	if err != nil {
 		return errors.Wrapf(err, "%s", c.Expect)
 	}
-	log, err := replay.Run(f, replay.Config{Registry: replay.Standard(), Machines: replayMachines(), SkipUnknown: true})
+	log, err := replay.Run(f, replay.Config{Registry: replay.Standard(), NewMachines: replay.ProcessMachines, SkipUnknown: true})
 	if err != nil {
 		return err
 	}
 	if err := log.Check(outcomes); err != nil {
 		return err
 	}
+	if len(log.Recorded) > 0 {
+		if err := log.CompareRecorded(); err != nil {
+			return err
+		}
+		fmt.Printf("all %d recorded decisions are the same\n", len(log.Recorded))
+	}
 	fmt.Printf("all %d stated outcomes hold\n", len(outcomes))
 	return nil
 }
-
-// replayMachines are the machines whose decisions a trace is replayed through.
-func replayMachines() []jdaw.Machine {
-	return []jdaw.Machine{guard.NewMachine(guard.MachineConfig{}), casc.NewMachine(casc.MachineConfig{})}
-}
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,8 +41,14 @@
 // Settings returns the settings of the VM with this index; its ports are
 // chosen by the system.
 func (s *StandIns) Settings(i int) config.Settings {
+	vm := jdaw.VMID(fmt.Sprintf("entry%d", i+1))
+	record := ""
+	if s.RecordDir != "" {
+		record = filepath.Join(s.RecordDir, string(vm)+".jsonl")
+	}
 	return config.Settings{
-		VM:         jdaw.VMID(fmt.Sprintf("entry%d", i+1)),
+		Record:     record,
+		VM:         vm,
 		DataCentre: s.Shape.DataCentreOf(i),
 		Region:     s.Shape.Region,
 		Listen:     config.Addresses{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Admin: "127.0.0.1:0"},
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -33,6 +33,8 @@
 	Seed     uint64
 	Out      io.Writer
 	Log      *logrus.Logger
+	// RecordDir, if set, takes one trace per VM.
+	RecordDir string
 }
 
 // Timing of the demo's engines: short enough to watch, long enough to see.
@@ -47,6 +49,7 @@
 		return err
 	}
 	defer standIns.Close()
+	standIns.RecordDir = cfg.RecordDir
 	cluster, err := StartVMs(ctx, standIns, cfg.Log)
 	if err != nil {
 		return err
--- a/demo/standin.go
+++ b/demo/standin.go
@@ -33,6 +33,10 @@
 	Document config.Document
 	Secrets  Secrets
 
+	// RecordDir, if set before the VMs start, is where each of them records
+	// its trace.
+	RecordDir string
+
 	servers []*http.Server
 }
 
--- a/guard/measure_test.go
+++ b/guard/measure_test.go
@@ -315,7 +315,7 @@
 	for name, b := range traces {
 		t.Run(name, func(t *testing.T) {
 			var got bytes.Buffer
-			rec := replay.NewRecorder(&got)
+			rec := replay.NewRecorder(&got, replay.Standard())
 			simulate(seed, b, rec.Record)
 			if err := rec.Flush(); err != nil || len(rec.Skipped()) > 0 {
 				t.Fatalf("recording failed: %v, left out %v", err, rec.Skipped())
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -35,8 +35,13 @@
 	Execute func(a jdaw.Action)
 	// Record, if set, sees each event from outside before it is handled.
 	Record func(at time.Time, ev jdaw.Event)
-	Clock  jdaw.Clock
-	Tick   time.Duration
+	// RecordEmitted, if set, sees each event that a machine emitted before it
+	// is handled. A trace with them replays without that machine.
+	RecordEmitted func(at time.Time, ev jdaw.Event)
+	// RecordAction, if set, sees each action before it is carried out.
+	RecordAction func(at time.Time, a jdaw.Action)
+	Clock        jdaw.Clock
+	Tick         time.Duration
 }
 
 // Loop owns the control state of one process.
@@ -122,11 +127,16 @@
 		l.cfg.Record(at, ev)
 	}
 	pending := []jdaw.Event{ev}
-	for len(pending) > 0 {
-		next := pending[0]
-		pending = pending[1:]
+	for i := 0; i < len(pending); i++ {
+		next := pending[i]
+		if i > 0 && l.cfg.RecordEmitted != nil {
+			l.cfg.RecordEmitted(at, next)
+		}
 		for _, m := range l.cfg.Machines {
 			for _, a := range m.Handle(at, next) {
+				if l.cfg.RecordAction != nil {
+					l.cfg.RecordAction(at, a)
+				}
 				if inner, ok := a.(jdaw.Event); ok {
 					pending = append(pending, inner)
 				}
--- a/owner/events.go
+++ b/owner/events.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"fmt"
+	"strconv"
 	"time"
 
 	"jackdawbarrow"
@@ -164,6 +166,14 @@
 // ActionName implements jdaw.Action.
 func (Grant) ActionName() string { return "grant" }
 
+// ActionFields returns the key fields for a log of actions.
+func (g Grant) ActionFields() map[string]string {
+	return map[string]string{
+		"ticket": strconv.FormatUint(g.Ticket, 10), "credit": g.Credit, "pool": g.Pool.String(),
+		"upstream": string(g.Upstream), "version": g.Version.String(),
+	}
+}
+
 // Refuse answers the ticket with a result code; nothing has run.
 type Refuse struct {
 	Ticket     uint64        `json:"ticket"`
@@ -239,6 +249,15 @@
 // ActionName implements jdaw.Action.
 func (SendCounts) ActionName() string { return "sendCounts" }
 
+// ActionFields returns the key fields for a log of actions.
+func (s SendCounts) ActionFields() map[string]string {
+	fields := map[string]string{"judge": string(s.Judge)}
+	for _, c := range s.Counts {
+		fields[c.Pool.String()+" "+c.Version.String()] = fmt.Sprintf("%d ok, %d failed, %d rated", c.OK, c.Failed, c.Rated)
+	}
+	return fields
+}
+
 // PoolStats are figures of one owned pool.
 type PoolStats struct {
 	Pool     jdaw.PoolID `json:"pool"`
--- a/replay/doc.go
+++ b/replay/doc.go
@@ -18,6 +18,7 @@
 //     atMost: 1
 //   - action: proposal
 //     none: true                 # no such action
+//   - holds: withdrawnVersion    # a [Rule] about the grants of an owner
 //   - order:                     # the first of each, in this order
 //   - action: publishRollouts
 //   - action: suspend
@@ -31,9 +32,18 @@
 //	outcomes, err := replay.ParseOutcomes(yamlBytes)
 //	err = log.Check(outcomes) // *MissedError if an outcome is missed
 //
-// A process records its events with a [Recorder]:
+// A process records its events and its decisions with a [Recorder]:
 //
-//	rec := replay.NewRecorder(file)
-//	l := loop.New(loop.Config{Record: rec.Record, ...})
+//	rec := replay.NewRecorder(file, replay.Standard())
+//	rec.Record(time.Now(), replay.Process{VM: vm, Incarnation: inc})
+//	l := loop.New(loop.Config{Record: rec.Record, RecordEmitted: rec.Record, RecordAction: rec.RecordAction, ...})
 //	defer rec.Flush()
+//
+// Member table and configuration are recorded as the events that other machines
+// emitted, without keys and tokens, so the machines of packages peers and spread
+// have no part in a replay. [ProcessMachines] makes those that have one.
+//
+// Machines compare times of events by the monotonic clock of the process, and a
+// trace holds wall times. A clock that is set during the recording can therefore
+// change a decision of the replay; [Log.CompareRecorded] shows it.
 package replay
--- a/replay/outcome.go
+++ b/replay/outcome.go
@@ -32,6 +32,8 @@
 	// Requests names the object whose requests Within counts; default Equals.
 	Requests string  `yaml:"requests,omitempty"`
 	Order    []Match `yaml:"order,omitempty"`
+	// Holds names a rule that must hold over the whole run.
+	Holds Rule `yaml:"holds,omitempty"`
 }
 
 // MissedError says which stated outcomes a run missed.
@@ -59,6 +61,12 @@
 }
 
 func (o Outcome) validate() error {
+	if o.Holds != "" {
+		if o.Action != "" || o.Within != "" || o.None || o.AtLeast != nil || o.AtMost != nil || len(o.Order) > 0 {
+			return errors.New("holds cannot be combined with other fields")
+		}
+		return o.Holds.validate()
+	}
 	if len(o.Order) > 0 {
 		if o.Action != "" || o.Within != "" || o.None || o.AtLeast != nil || o.AtMost != nil {
 			return errors.New("order cannot be combined with other fields")
@@ -157,6 +165,9 @@
 	if len(o.Order) > 0 {
 		return l.orderDifferences(o.Order)
 	}
+	if o.Holds != "" {
+		return l.rules.differences(o.Holds)
+	}
 	found := l.find(o.Match)
 	n := len(found)
 	var out []string
--- a/replay/registry.go
+++ b/replay/registry.go
@@ -9,6 +9,7 @@
 	"jackdawbarrow/casc"
 	"jackdawbarrow/config"
 	"jackdawbarrow/guard"
+	"jackdawbarrow/owner"
 )
 
 // Decode reads the body of an event.
@@ -48,8 +49,18 @@
 // EventName implements [jdaw.Event].
 func (Request) EventName() string { return "request" }
 
+// Process is the first event of a recorded trace. It names the process whose
+// machines are to be replayed.
+type Process struct {
+	VM          jdaw.VMID        `json:"vm"`
+	Incarnation jdaw.Incarnation `json:"incarnation"`
+}
+
+// EventName implements [jdaw.Event].
+func (Process) EventName() string { return "processStarted" }
+
 // Standard returns a registry with the events of the root package and of
-// packages config, guard and casc.
+// packages config, owner, guard and casc.
 func Standard() *Registry {
 	r := NewRegistry()
 	r.Register("tick", decodeTick)
@@ -58,9 +69,66 @@
 	r.Register("versionCounts", decodeCounts)
 	r.Register("stepOutcome", decodeOutcome)
 	r.Register("request", decodeRequest)
+	r.Register("processStarted", decodeProcess)
+	registerOwner(r)
 	return r
 }
 
+// registerOwner adds the events of package owner.
+func registerOwner(r *Registry) {
+	r.Register("acquireRequested", func(b json.RawMessage) (jdaw.Event, error) {
+		var ev owner.AcquireRequested
+		err := json.Unmarshal(b, &ev)
+		return ev, err
+	})
+	r.Register("acquireCancelled", func(b json.RawMessage) (jdaw.Event, error) {
+		var ev owner.AcquireCancelled
+		err := json.Unmarshal(b, &ev)
+		return ev, err
+	})
+	r.Register("creditsReleased", func(b json.RawMessage) (jdaw.Event, error) {
+		var ev owner.CreditsReleased
+		err := json.Unmarshal(b, &ev)
+		return ev, err
+	})
+	r.Register("creditsRenewed", func(b json.RawMessage) (jdaw.Event, error) {
+		var ev owner.CreditsRenewed
+		err := json.Unmarshal(b, &ev)
+		return ev, err
+	})
+	r.Register("loadReported", func(b json.RawMessage) (jdaw.Event, error) {
+		var ev owner.LoadReported
+		err := json.Unmarshal(b, &ev)
+		return ev, err
+	})
+	r.Register("cacheReported", func(b json.RawMessage) (jdaw.Event, error) {
+		var ev owner.CacheReported
+		err := json.Unmarshal(b, &ev)
+		return ev, err
+	})
+	r.Register("outstandingReported", func(b json.RawMessage) (jdaw.Event, error) {
+		var ev owner.OutstandingReported
+		err := json.Unmarshal(b, &ev)
+		return ev, err
+	})
+	r.Register("revisionPullFailed", func(b json.RawMessage) (jdaw.Event, error) {
+		var ev owner.RevisionPullFailed
+		err := json.Unmarshal(b, &ev)
+		return ev, err
+	})
+	r.Register("countsConfirmed", func(b json.RawMessage) (jdaw.Event, error) {
+		var ev owner.CountsConfirmed
+		err := json.Unmarshal(b, &ev)
+		return ev, err
+	})
+}
+
+func decodeProcess(b json.RawMessage) (jdaw.Event, error) {
+	var ev Process
+	err := json.Unmarshal(b, &ev)
+	return ev, err
+}
+
 func decodeTick(b json.RawMessage) (jdaw.Event, error) {
 	var ev jdaw.Tick
 	err := json.Unmarshal(b, &ev)
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -209,7 +209,7 @@
 // took, or traces prove nothing about the process.
 func TestRecordedLoopReplays(t *testing.T) {
 	var trace bytes.Buffer
-	rec := replay.NewRecorder(&trace)
+	rec := replay.NewRecorder(&trace, replay.Standard())
 	var mu sync.Mutex
 	var live []jdaw.Suspension
 	done := make(chan struct{}, 1)
@@ -258,7 +258,9 @@
 // An event that cannot be encoded must not stop the recording of the others.
 func TestRecorderSkipsUnencodable(t *testing.T) {
 	var trace bytes.Buffer
-	rec := replay.NewRecorder(&trace)
+	registry := replay.Standard()
+	registry.Register("unencodable", func(json.RawMessage) (jdaw.Event, error) { return unencodable{}, nil })
+	rec := replay.NewRecorder(&trace, registry)
 	rec.Record(start, unencodable{Reply: func() {}})
 	rec.Record(start, jdaw.Tick{Gap: time.Second})
 	if err := rec.Flush(); err != nil {
--- a/replay/run.go
+++ b/replay/run.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"maps"
 	"strings"
 	"time"
 
@@ -16,6 +17,9 @@
 type Config struct {
 	Registry *Registry
 	Machines []jdaw.Machine
+	// NewMachines, if set, makes the machines of the process that the trace
+	// names; it is called once, with the zero value if the trace names none.
+	NewMachines func(Process) []jdaw.Machine
 	// Requests returns the name of the object that an event is a request to,
 	// and the number of requests; 0 if it is none. It defaults to counting
 	// [Request] events.
@@ -37,7 +41,10 @@
 // Log holds the actions of a run in order.
 type Log struct {
 	Entries []Entry
+	// Recorded are the decisions that the process took, if the trace has them.
+	Recorded []Entry
 
+	rules    *rules
 	start    time.Time // of the first event
 	requests []requestCount
 }
@@ -60,9 +67,13 @@
 	if cfg.Requests == nil {
 		cfg.Requests = countRequests
 	}
-	var log Log
+	log := Log{rules: newRules()}
 	n := 0
 	err := readTrace(trace, func(_ int, l line) error {
+		if l.Action != "" {
+			log.Recorded = append(log.Recorded, Entry{At: l.At, Action: l.Action, Fields: l.Fields, event: n})
+			return nil
+		}
 		if cfg.SkipUnknown && !cfg.Registry.Has(l.Event) {
 			return nil
 		}
@@ -72,6 +83,10 @@
 		}
 		if n++; n == 1 {
 			log.start = l.At
+			if cfg.NewMachines != nil {
+				process, _ := ev.(Process)
+				cfg.Machines = cfg.NewMachines(process)
+			}
 		}
 		if name, count := cfg.Requests(ev); count > 0 {
 			log.requests = append(log.requests, requestCount{event: n, name: name, n: count})
@@ -95,11 +110,13 @@
 	for len(pending) > 0 {
 		next := pending[0]
 		pending = pending[1:]
+		l.rules.event(next)
 		for _, m := range machines {
 			for _, a := range m.Handle(at, next) {
 				if inner, ok := a.(jdaw.Event); ok {
 					pending = append(pending, inner)
 				}
+				l.rules.action(at, a)
 				fields, err := fieldsOf(a)
 				if err != nil {
 					return errors.Wrapf(err, "encode action %s", a.ActionName())
@@ -111,6 +128,34 @@
 	return nil
 }
 
+// CompareRecorded returns an error that names the first decision in which the
+// replay and the recording differ. A trace without decisions is an error.
+func (l Log) CompareRecorded() error {
+	if len(l.Recorded) == 0 {
+		return errors.New("the trace holds no decisions of the process")
+	}
+	var replayed []Entry
+	for _, e := range l.Entries {
+		if recordedActions[e.Action] {
+			replayed = append(replayed, e)
+		}
+	}
+	for i, want := range l.Recorded {
+		if i >= len(replayed) {
+			return errors.Newf("the replay ends before decision %d, %s %v", i+1, want.Action, want.Fields)
+		}
+		if got := replayed[i]; !got.At.Equal(want.At) || got.Action != want.Action || !maps.Equal(got.Fields, want.Fields) {
+			return errors.Newf("decision %d was %s %v at %s, the replay gives %s %v at %s",
+				i+1, want.Action, want.Fields, stamp(want), got.Action, got.Fields, stamp(got))
+		}
+	}
+	if n := len(l.Recorded); len(replayed) > n {
+		return errors.Newf("the replay gives %d decisions, %d were recorded; the first further one is %s %v",
+			len(replayed), n, replayed[n].Action, replayed[n].Fields)
+	}
+	return nil
+}
+
 // fieldsOf returns the key fields of an action: those that it names or else the
 // plain values of its JSON object.
 func fieldsOf(a jdaw.Action) (map[string]string, error) {
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -16,11 +16,13 @@
 // maxLine is larger than any event; a configuration may have up to 1 MB.
 const maxLine = 4 << 20
 
-// line is one event of a trace.
+// line is one event of a trace, or one action that the process took.
 type line struct {
-	At    time.Time       `json:"at"`
-	Event string          `json:"event"`
-	Body  json.RawMessage `json:"body"`
+	At     time.Time         `json:"at"`
+	Event  string            `json:"event,omitempty"`
+	Body   json.RawMessage   `json:"body,omitempty"`
+	Action string            `json:"action,omitempty"`
+	Fields map[string]string `json:"fields,omitempty"`
 }
 
 // TraceError is a fault in a trace.
@@ -65,32 +67,62 @@
 	return nil
 }
 
-// Recorder writes events as a trace. Record is called by one goroutine, that of
-// the control loop; the writer should not block, or control waits for it.
+// recordedActions are the decisions that a trace keeps. The others repeat what
+// the events say or are frequent and carry no decision.
+var recordedActions = map[string]bool{
+	"grant": true, "refuse": true, "sendCounts": true, "suspend": true, "proposal": true,
+}
+
+// Recorder writes a trace. Its methods are called by one goroutine, that of the
+// control loop; the writer should not block, or control waits for it.
 type Recorder struct {
-	w       *bufio.Writer
-	err     error
-	skipped map[string]int
+	registry *Registry
+	w        *bufio.Writer
+	err      error
+	skipped  map[string]int
 }
 
-// NewRecorder returns a recorder that writes to w.
-func NewRecorder(w io.Writer) *Recorder {
-	return &Recorder{w: bufio.NewWriter(w), skipped: map[string]int{}}
+// NewRecorder returns a recorder that writes to w the events that the registry
+// can read back. All others are left out: no machine of a replay handles them,
+// and some carry documents with keys and tokens.
+func NewRecorder(w io.Writer, registry *Registry) *Recorder {
+	return &Recorder{registry: registry, w: bufio.NewWriter(w), skipped: map[string]int{}}
 }
 
-// Record writes one event. It has the type of loop.Config.Record. An event that
-// cannot be encoded is counted and left out, because a fault of the recording
-// must not stop control.
+// Record writes one event. It has the type of loop.Config.Record and
+// RecordEmitted. An event that cannot be encoded is counted and left out,
+// because a fault of the recording must not stop control.
 func (r *Recorder) Record(at time.Time, ev jdaw.Event) {
-	if r.err != nil {
+	if !r.registry.Has(ev.EventName()) {
 		return
 	}
 	b, err := encode(at, ev)
+	r.write(ev.EventName(), b, err)
+}
+
+// RecordAction writes one decision. It has the type of loop.Config.RecordAction.
+func (r *Recorder) RecordAction(at time.Time, a jdaw.Action) {
+	name := a.ActionName()
+	if !recordedActions[name] {
+		return
+	}
+	fields, err := fieldsOf(a)
 	if err != nil {
-		r.skipped[ev.EventName()]++
+		r.skipped[name]++
 		return
 	}
-	_, r.err = r.w.Write(append(b, '\n'))
+	b, err := json.Marshal(line{At: at.UTC(), Action: name, Fields: fields})
+	r.write(name, b, err)
+}
+
+func (r *Recorder) write(name string, b []byte, err error) {
+	if err != nil {
+		r.skipped[name]++
+		return
+	}
+	if r.err == nil {
+		_, r.err = r.w.Write(append(b, '\n'))
+	}
 }
 
 // Flush writes what is buffered and returns the first error of the writer.
@@ -101,7 +133,7 @@
 	return errors.Wrap(r.err, "write trace")
 }
 
-// Skipped returns how many events of each name could not be encoded.
+// Skipped returns how many events and actions of each name could not be encoded.
 func (r *Recorder) Skipped() map[string]int { return r.skipped }
 
 func encode(at time.Time, ev jdaw.Event) ([]byte, error) {
--- a/serve/process.go
+++ b/serve/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -33,8 +32,6 @@
 type Config struct {
 	Settings config.Settings
 	Log      *logrus.Logger
-	// Trace, if set, takes the control events for replay.
-	Trace io.Writer
 }
 
 // Process is one running entry VM.
@@ -59,6 +56,8 @@
 	lastStates   map[jdaw.VMID]jdaw.MemberState
 	lastIsolated bool
 
+	trace *trace // nil unless the settings ask for one
+
 	grpc    *grpc.Server
 	servers []*http.Server
 	wg      conc.WaitGroup
@@ -76,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := p.build(cfg); err != nil {
+	if err := p.build(); err != nil {
 		l.close()
 		return nil, err
 	}
@@ -93,7 +92,7 @@
 // build makes the slices and connects them. The order follows their needs:
 // peers before whatever sends messages, the ledger and the owner before the
 // entry.
-func (p *Process) build(cfg Config) error {
+func (p *Process) build() error {
 	s := p.settings
 	kv, err := store.New(store.Config{Addresses: s.Store.Addresses})
 	if err != nil {
@@ -114,8 +113,7 @@
 	if err := p.buildEntry(); err != nil {
 		return err
 	}
-	p.buildLoop(cfg)
-	return nil
+	return p.buildLoop(inc)
 }
 
 // renewIncarnation is called when the journal of this process was sealed while
@@ -142,22 +140,27 @@
 	})
 }
 
-func (p *Process) buildLoop(cfg Config) {
-	var record func(at time.Time, ev jdaw.Event)
-	if cfg.Trace != nil {
-		record = replay.NewRecorder(cfg.Trace).Record
-	}
-	p.loop = loop.New(loop.Config{
-		Record: record,
+func (p *Process) buildLoop(inc jdaw.Incarnation) error {
+	cfg := loop.Config{
 		Machines: []jdaw.Machine{
 			p.peers.Machine(),
 			p.spread.Machine(),
-			owner.New(owner.Config{Self: p.settings.VM, Incarnation: p.peers.Incarnation()}),
+			owner.New(owner.Config{Self: p.settings.VM, Incarnation: inc}),
 			p.guard.Machine(),
 			p.casc.Machine(),
 		},
 		Execute: p.execute,
-	})
+	}
+	if p.settings.Record != "" {
+		t, err := newTrace(p.settings.Record, replay.Process{VM: p.settings.VM, Incarnation: inc})
+		if err != nil {
+			return err
+		}
+		p.trace = t
+		cfg.Record, cfg.RecordEmitted, cfg.RecordAction = t.recorder.Record, t.recorder.Record, t.recorder.RecordAction
+	}
+	p.loop = loop.New(cfg)
+	return nil
 }
 
 // execute gives an action to the slice that carries it out.
@@ -197,6 +200,7 @@
 	p.spread.Close()
 	p.grpc.Stop()
 	p.loop.Close()
+	p.closeTrace()
 	p.peers.Close()
 	p.engine.Close()
 	p.wg.Wait()
