--- a/demo/standin.go
+++ b/demo/standin.go
@@ -40,11 +40,13 @@
 	servers []*http.Server
 }
 
-// EngineTiming is the speed of the engine stand-ins.
+// EngineTiming is the speed of the engine stand-ins and the seed of what they
+// and the rating service draw at random.
 type EngineTiming struct {
 	FirstToken time.Duration
 	PerToken   time.Duration
 	Tokens     int
+	Seed       uint64
 }
 
 // StartStandIns starts the stand-ins and stores the first configuration.
@@ -54,7 +56,7 @@
 	for _, m := range shape.Models {
 		quality[m.Name] = m.Quality
 	}
-	s.Rating = fakes.NewRating(fakes.RatingConfig{Quality: quality, Noise: 0.08, Seed: 1})
+	s.Rating = fakes.NewRating(fakes.RatingConfig{Quality: quality, Noise: 0.08, Seed: timing.Seed + 1})
 	var err error
 	serve := func(h http.Handler) (addr string) {
 		if err == nil {
@@ -70,6 +72,7 @@
 			Versions: shape.VersionNames(), Capacity: engineConcurrent, Tokens: timing.Tokens,
 			FirstToken: timing.FirstToken, PerToken: timing.PerToken,
 			ColdFor: 2 * time.Second, ColdCapacity: engineCold, ReportLag: time.Second, ChecksFence: i%2 == 0,
+			Seed: timing.Seed*1000 + uint64(i),
 		})
 		s.Engines = append(s.Engines, e)
 		s.EngineAddrs = append(s.EngineAddrs, serve(e))
