Keep the copies of a settled request until its settlement is recorded

Cause: a settlement that is queued before its opened entry was written takes that entry out of the queue. The lowest number that is not recorded then rose above the opened entry, and the copies of any other request told the holders to drop it. If the home died before it had sent a copy of the settlement, a request that ran was in no slot and at no holder, and had no bill.

Change: the settlement takes the opened entry's place in the queue and holds back its number until the settlement is in a slot.

--- a/ledger/journal.go
+++ b/ledger/journal.go
@@ -32,9 +32,13 @@
 // entry is one record on its way into a slot.
 type entry struct {
 	number uint64 // copy number
-	bill   jdaw.Bill
-	done   chan struct{} // closed when the entry is in a slot or cannot be
-	err    error         // set before done is closed
+	// keep is the lowest copy number that holders must keep until this entry
+	// is in a slot. It is below number if this settlement replaced an opened
+	// entry that was not written yet.
+	keep uint64
+	bill jdaw.Bill
+	done chan struct{} // closed when the entry is in a slot or cannot be
+	err  error         // set before done is closed
 }
 
 // journal is the journal of one incarnation of this process.
@@ -93,28 +97,39 @@
 	}
 	delete(j.open, b.RequestID)
 	b.State = jdaw.BillSettled
-	j.dropPendingOpen(b.RequestID)
-	e := j.queue(b)
+	e := j.replacePendingOpen(b)
+	if e == nil {
+		e = j.queue(b)
+	}
 	j.settling[b.RequestID] = e
 	return e
 }
 
-// dropPendingOpen removes the opened entry of a request whose settlement is
-// queued before the opened entry was written: the settlement says it all. This
-// doubles the number of requests that fit into the journal in an outage.
-func (j *journal) dropPendingOpen(id jdaw.RequestID) {
-	for i, e := range j.pending {
-		if e.bill.RequestID == id {
-			j.pending = append(j.pending[:i:i], j.pending[i+1:]...)
-			close(e.done)
-			return
+// replacePendingOpen puts the settlement in the place of the opened entry if
+// that was not written yet: the settlement says it all. This doubles the number
+// of requests that fit into the journal in an outage. The holders keep the
+// opened entry until the settlement is in a slot: the home may die before it
+// has sent the settlement to anybody.
+func (j *journal) replacePendingOpen(b jdaw.Bill) *entry {
+	for i, open := range j.pending {
+		if open.bill.RequestID == b.RequestID {
+			e := j.newEntry(b)
+			e.keep = open.keep
+			j.pending[i] = e
+			close(open.done)
+			return e
 		}
 	}
+	return nil
 }
 
-func (j *journal) queue(b jdaw.Bill) *entry {
+func (j *journal) newEntry(b jdaw.Bill) *entry {
 	j.numbers++
-	e := &entry{number: j.numbers, bill: b, done: make(chan struct{})}
+	return &entry{number: j.numbers, keep: j.numbers, bill: b, done: make(chan struct{})}
+}
+
+func (j *journal) queue(b jdaw.Bill) *entry {
+	e := j.newEntry(b)
 	j.pending = append(j.pending, e)
 	select {
 	case j.wake <- struct{}{}:
@@ -123,15 +138,16 @@
 	return e
 }
 
-// durableBefore returns the lowest copy number that is not in a slot yet.
+// durableBefore returns the copy number below which holders need keep nothing.
+// Entries wait in the order of keep.
 func (j *journal) durableBefore() uint64 {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if len(j.inFlight) > 0 {
-		return j.inFlight[0].number
+		return j.inFlight[0].keep
 	}
 	if len(j.pending) > 0 {
-		return j.pending[0].number
+		return j.pending[0].keep
 	}
 	return j.numbers + 1
 }
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -279,3 +279,42 @@
 		}
 	}
 }
+
+// Guards against a request that ran and has no bill: its home dies after the
+// settlement was queued and before a copy of it was sent, while the copies of
+// another request have told the holders which entries they may drop.
+func TestHomeDiesBetweenSettlementAndCopy(t *testing.T) {
+	c := newCluster(t, 3)
+	ctx := context.Background()
+	home := c.vms[0]
+	open := func() jdaw.RequestID {
+		id, err := home.Open(ctx, jdaw.Bill{Workspace: "w"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return id
+	}
+	open() // the first batch is written at once, the next one an interval later
+	time.Sleep(20 * time.Millisecond)
+	id := open()
+	cut, cancel := context.WithCancel(ctx)
+	cancel()
+	b := jdaw.Bill{RequestID: id, Workspace: "w", Cost: 1}
+	if err := home.Settle(cut, b.WithSettlement(jdaw.CodeOK, time.Now())); err == nil {
+		t.Fatal("the settlement was copied")
+	}
+	open()
+	c.kill(0)
+	c.setState(0, jdaw.MemberDead)
+	c.waitSealed(home.Incarnation())
+	bills, err := ledger.ExportAt(ctx, c.st, time.Now().Add(2*ledger.LateSettlement))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range bills {
+		if b.RequestID == id {
+			return
+		}
+	}
+	t.Errorf("no bill for %s among %d", id, len(bills))
+}
