--- a/cmd/jackdawbarrow/ask.go
+++ b/cmd/jackdawbarrow/ask.go
@@ -14,6 +14,7 @@
 type askCommand struct {
 	Entry   string `required:"" env:"JACKDAWBARROW_ENTRY" help:"Address of any entry VM, http://IP:port; the entry list is read from it."`
 	Key     string `required:"" env:"JACKDAWBARROW_KEY" help:"Workspace key."`
+	CA      string `type:"existingfile" env:"JACKDAWBARROW_CA" help:"PEM file with the authority that signed the VMs' certificates."`
 	Model   string `default:"cascade" help:"Model, model@version, a cascade's name or 'cascade' for the workspace's own."`
 	Outlet  string `help:"Outlet of the workspace."`
 	Service string `help:"Plain service to call instead of a model."`
@@ -32,7 +33,13 @@
 		q.Path = "/v1/services/" + c.Service + c.Path
 		q.Stream, q.Repeatable, q.IdemKey, q.Body = false, false, c.IdemKey, []byte(c.Text)
 	}
-	reply, err := demo.NewCaller([]string{c.Entry}).Do(ctx, q)
+	caller := demo.NewCaller([]string{c.Entry})
+	client, err := httpClient(c.CA, callerTimeout)
+	if err != nil {
+		return err
+	}
+	caller.HTTP = client
+	reply, err := caller.Do(ctx, q)
 	if err != nil {
 		return errors.Wrap(err, "ask")
 	}
--- a/cmd/jackdawbarrow/change.go
+++ b/cmd/jackdawbarrow/change.go
@@ -19,11 +19,16 @@
 type adminFlags struct {
 	Admin  string `required:"" env:"JACKDAWBARROW_ADMIN" help:"Address of the administration API, http://IP:port."`
 	Token  string `required:"" env:"JACKDAWBARROW_TOKEN" help:"Operator token."`
+	CA     string `type:"existingfile" env:"JACKDAWBARROW_CA" help:"PEM file with the authority that signed the API's certificate; the system's authorities otherwise."`
 	Output string `enum:"table,json,yaml" default:"table" help:"Form of the output: table, json or yaml."`
 }
 
-func (f adminFlags) client() *admin.Client {
-	return admin.NewClient(admin.ClientConfig{Address: strings.TrimSuffix(f.Admin, "/"), Token: f.Token})
+func (f adminFlags) client() (*admin.Client, error) {
+	h, err := httpClient(f.CA, adminTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return admin.NewClient(admin.ClientConfig{Address: strings.TrimSuffix(f.Admin, "/"), Token: f.Token, HTTP: h}), nil
 }
 
 // print writes a value as JSON or YAML and reports whether it did.
@@ -54,7 +59,11 @@
 
 func (f changeFlags) change(ctx context.Context, ops ...config.Op) error {
 	c := config.Change{ID: f.ID, BaseRevision: jdaw.Revision(f.BaseRevision), Ops: ops}
-	result, err := f.client().Change(ctx, c, admin.ChangeOptions{DryRun: f.DryRun})
+	client, err := f.client()
+	if err != nil {
+		return err
+	}
+	result, err := client.Change(ctx, c, admin.ChangeOptions{DryRun: f.DryRun})
 	if err != nil {
 		return err
 	}
--- a/cmd/jackdawbarrow/read.go
+++ b/cmd/jackdawbarrow/read.go
@@ -20,7 +20,11 @@
 
 // Run implements the command.
 func (c *statusCommand) Run(ctx context.Context) error {
-	s, err := c.client().Status(ctx)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	s, err := client.Status(ctx)
 	if err != nil {
 		return err
 	}
@@ -66,7 +70,11 @@
 
 // Run implements the command.
 func (c *showCommand) Run(ctx context.Context) error {
-	d, err := c.client().Configuration(ctx)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	d, err := client.Configuration(ctx)
 	if err != nil {
 		return err
 	}
@@ -88,7 +96,11 @@
 
 // Run implements the command.
 func (c *ledgerCommand) Run(ctx context.Context) error {
-	return c.client().Ledger(ctx, os.Stdout)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	return client.Ledger(ctx, os.Stdout)
 }
 
 type timelineCommand struct {
@@ -103,7 +115,11 @@
 
 // Run implements the command.
 func (c *timelineCommand) Run(ctx context.Context) error {
-	list, err := c.client().Events(ctx, c.Limit)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	list, err := client.Events(ctx, c.Limit)
 	if err != nil {
 		return err
 	}
