Order engines to load and unload versions under a lease with fencing numbers

Cause: roll-outs need versions loaded, and two VMs must not give one engine crossing orders; some engines ignore fencing numbers. Change: package orders; 'placement' and 'loadsPerMinute' in the configuration; FetchLoad is shared with owner.

--- a/config/check.go
+++ b/config/check.go
@@ -227,6 +227,15 @@
 		if u.ColdConcurrent < 1 || u.ColdConcurrent > u.MaxConcurrent {
 			c.fault(path+".coldConcurrent", "must be 1 to maxConcurrent")
 		}
+		if len(u.Placement) > 0 && len(u.Versions) > 0 {
+			c.fault(path+".versions", "must be left out with placement, since the load report then says what is loaded")
+		}
+		for j, v := range u.Placement {
+			mv := jdaw.ParseModelVersion(v)
+			if !d.hasVersion(mv.Model, mv.Version) {
+				c.fault(index(path+".placement", j), fmt.Sprintf("%q is not a version of a model here", v))
+			}
+		}
 		for j, v := range u.Versions {
 			mv := jdaw.ParseModelVersion(v)
 			if !d.hasVersion(mv.Model, mv.Version) {
--- a/config/document.go
+++ b/config/document.go
@@ -29,7 +29,10 @@
 	Upstreams   []Upstream     `json:"upstreams" yaml:"upstreams"`
 	SessionKeys []SessionKey   `json:"sessionKeys,omitempty" yaml:"sessionKeys,omitempty"`
 	Operators   []Operator     `json:"operators,omitempty" yaml:"operators,omitempty"`
-	DrainingVMs []jdaw.VMID    `json:"drainingVMs,omitempty" yaml:"drainingVMs,omitempty"`
+	// LoadsPerMinute bounds the loads that the VMs of one region order from the
+	// weight store; 0 means 6.
+	LoadsPerMinute int         `json:"loadsPerMinute,omitempty" yaml:"loadsPerMinute,omitempty"`
+	DrainingVMs    []jdaw.VMID `json:"drainingVMs,omitempty" yaml:"drainingVMs,omitempty"`
 	// ResolvedSuspensions are ids of suspensions that this document replaces,
 	// either because it states the same or because an operator lifted them.
 	ResolvedSuspensions []string `json:"resolvedSuspensions,omitempty" yaml:"resolvedSuspensions,omitempty"`
@@ -162,7 +165,10 @@
 	Address    string           `json:"address" yaml:"address"` // http://IP:port
 	// Versions lists "model@version" that the engine has loaded. Empty means
 	// that the engine's load report says it.
-	Versions       []string `json:"versions,omitempty" yaml:"versions,omitempty"`
+	Versions []string `json:"versions,omitempty" yaml:"versions,omitempty"`
+	// Placement lists "model@version" that the engine is ordered to have loaded;
+	// empty means that it gets no orders. Versions is then left empty.
+	Placement      []string `json:"placement,omitempty" yaml:"placement,omitempty"`
 	MaxConcurrent  int      `json:"maxConcurrent" yaml:"maxConcurrent"`
 	ColdConcurrent int      `json:"coldConcurrent" yaml:"coldConcurrent"`
 	// ChecksFence says that the engine refuses orders with an old fencing number.
--- a/owner/load.go
+++ b/owner/load.go
@@ -34,8 +34,8 @@
 	CacheEvents []CacheChange `json:"cacheEvents,omitempty"`
 }
 
-// fetchLoad reads the load report of an upstream.
-func fetchLoad(ctx context.Context, client *http.Client, address string) (LoadDocument, error) {
+// FetchLoad reads the load report of an upstream.
+func FetchLoad(ctx context.Context, client *http.Client, address string) (LoadDocument, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(address, "/")+"/v1/load", nil)
--- a/owner/node.go
+++ b/owner/node.go
@@ -357,7 +357,7 @@
 }
 
 func (n *Node) poll(ctx context.Context, a PollLoad) {
-	doc, err := fetchLoad(ctx, n.cfg.HTTP, a.Address)
+	doc, err := FetchLoad(ctx, n.cfg.HTTP, a.Address)
 	if err != nil {
 		n.cfg.Log.WithError(err).WithField("upstream", a.Upstream).Debug("no load report")
 		n.cfg.Post(LoadReported{Pool: a.Pool, Upstream: a.Upstream, Failed: true})
--- a/serve/process.go
+++ b/serve/process.go
@@ -18,6 +18,7 @@
 	"jackdawbarrow/guard"
 	"jackdawbarrow/ledger"
 	"jackdawbarrow/loop"
+	"jackdawbarrow/orders"
 	"jackdawbarrow/owner"
 	"jackdawbarrow/peers"
 	"jackdawbarrow/replay"
@@ -50,6 +51,7 @@
 	owner  *owner.Node
 	guard  *guard.Node
 	casc   *casc.Node
+	orders *orders.Node
 	ledger *ledger.Ledger
 	engine *engine.Client
 	entry  *entry.Entry
@@ -142,6 +144,7 @@
 	p.spread = spread.New(spread.Config{
 		Self: s.VM, Peers: p.peers, Store: p.store, Post: p.post, Log: p.log,
 	})
+	p.orders = orders.New(orders.Config{Self: s.VM, Region: s.Region, Store: p.store, Post: p.post, Log: p.log})
 	p.guard = guard.New(guard.Config{Suspend: p.suspend})
 	p.casc = casc.New(casc.Config{Post: p.post})
 	p.owner = owner.NewNode(owner.NodeConfig{
@@ -158,6 +161,7 @@
 			owner.New(owner.Config{Self: p.settings.VM, Incarnation: inc}),
 			p.guard.Machine(),
 			p.casc.Machine(),
+			p.orders.Machine(),
 		},
 		Execute: p.execute,
 	}
@@ -178,7 +182,7 @@
 func (p *Process) execute(a jdaw.Action) {
 	p.recordControl(a)
 	p.watchDrain(a)
-	if p.peers.Execute(a) || p.spread.Execute(a) || p.owner.Execute(a) {
+	if p.peers.Execute(a) || p.spread.Execute(a) || p.owner.Execute(a) || p.orders.Execute(a) {
 		return
 	}
 	p.guard.Execute(a)
@@ -228,6 +232,7 @@
 		p.log.WithError(err).Warn("the journal could not be closed; other VMs will seal it")
 	}
 	p.owner.Close()
+	p.orders.Close()
 	p.spread.Close()
 	p.grpc.Stop()
 	p.loop.Close()
