Add gauges of control state, logs of refusals, and a denser time line page

Cause: control state had no metrics, refusals were not logged, and the page of 8 VMs did not fit a screen.

--- a/entry/request.go
+++ b/entry/request.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/sirupsen/logrus"
+
 	"jackdawbarrow"
 	"jackdawbarrow/config"
 )
@@ -195,6 +197,7 @@
 		r.store(jdaw.StoredAnswer{Status: coded.Code.Info().Status, ContentType: "application/json", Body: errorJSON(r.id, coded)})
 	}
 	r.settle(coded.Code, ran)
+	r.e.logEnd("failed", r.id, r.workspace, coded)
 	return coded
 }
 
@@ -213,9 +216,20 @@
 	coded := jdaw.CodeOf(err)
 	e.record("refused", id, ws, "", coded.Code.String())
 	e.metrics.ended(r.Context(), "refused", coded.Code, 0)
+	e.logEnd("refused", id, ws, coded)
 	writeError(w, id, coded)
 }
 
+// logEnd logs a request that was not answered. The message is made for callers
+// and holds neither keys nor prompts.
+func (e *Entry) logEnd(text string, id jdaw.RequestID, ws jdaw.WorkspaceID, coded *jdaw.CodeError) {
+	fields := logrus.Fields{"requestId": id, "workspace": ws, "code": int(coded.Code), "name": coded.Code.String(), "ran": coded.Code.Info().Ran}
+	if snap := e.cfg.Config.Snapshot(); snap != nil {
+		fields["revision"] = snap.Revision()
+	}
+	e.cfg.Log.WithFields(fields).Info(text + ": " + coded.Message)
+}
+
 // Waiting times for a claim that another request holds.
 const (
 	minClaimWait = 50 * time.Millisecond
--- a/events/html.go
+++ b/events/html.go
@@ -4,6 +4,7 @@
 	_ "embed"
 	"html/template"
 	"io"
+	"slices"
 	"time"
 
 	"jackdawbarrow"
@@ -15,13 +16,12 @@
 var page = template.Must(template.New("timeline").Parse(pageSource))
 
 type pageRow struct {
-	At      string
-	Offset  string
-	VM      jdaw.VMID
-	Column  int // grid column of the VM
-	Name    string
-	Kind    string
-	Details string
+	jdaw.TimelineEvent
+	At     string
+	Offset string
+	Column int // grid column of the VM
+	Kind   string
+	Search string // what the filter looks at
 }
 
 type pageData struct {
@@ -35,13 +35,12 @@
 // WriteHTML writes a self-contained page with one column a VM. missing names
 // VMs whose ring buffers could not be read.
 func WriteHTML(w io.Writer, list []jdaw.TimelineEvent, missing []jdaw.VMID) error {
-	data := pageData{Missing: missing}
+	data := pageData{Missing: missing, VMs: vmsOf(list)}
 	columns := map[jdaw.VMID]int{}
+	for i, vm := range data.VMs {
+		columns[vm] = i + 2 // the first column holds the time
+	}
 	for _, e := range list {
-		if _, ok := columns[e.VM]; !ok {
-			data.VMs = append(data.VMs, e.VM)
-			columns[e.VM] = len(data.VMs) + 1 // the first column holds the time
-		}
 		data.Rows = append(data.Rows, newPageRow(e, list[0].Wall, columns[e.VM]))
 	}
 	if len(list) > 0 {
@@ -51,15 +50,27 @@
 	return page.Execute(w, data)
 }
 
+func vmsOf(list []jdaw.TimelineEvent) []jdaw.VMID {
+	seen := map[jdaw.VMID]bool{}
+	var vms []jdaw.VMID
+	for _, e := range list {
+		if !seen[e.VM] {
+			seen[e.VM] = true
+			vms = append(vms, e.VM)
+		}
+	}
+	slices.Sort(vms)
+	return vms
+}
+
 func newPageRow(e jdaw.TimelineEvent, start int64, column int) pageRow {
 	return pageRow{
-		At:      time.Unix(0, e.Wall).UTC().Format(timeFormat),
-		Offset:  time.Duration(e.Wall - start).Round(10 * time.Microsecond).String(),
-		VM:      e.VM,
-		Column:  column,
-		Name:    e.Name,
-		Kind:    kindOf(e.Name),
-		Details: Details(e),
+		TimelineEvent: e,
+		At:            time.Unix(0, e.Wall).UTC().Format(timeFormat),
+		Offset:        time.Duration(e.Wall - start).Round(10 * time.Microsecond).String(),
+		Column:        column,
+		Kind:          kindOf(e.Name),
+		Search:        string(e.VM) + " " + e.Name + " " + Details(e),
 	}
 }
 
--- a/serve/process.go
+++ b/serve/process.go
@@ -259,6 +259,9 @@
 	if err != nil {
 		return err
 	}
+	if err := p.registerGauges(meter); err != nil {
+		return err
+	}
 	p.engine = engine.New(engine.Config{})
 	s := p.settings
 	cfg := entry.Config{
