--- a/cmd/jackdawbarrow/local.go
+++ b/cmd/jackdawbarrow/local.go
@@ -13,18 +13,14 @@
 )
 
 type setupCommand struct {
-	Answers string `required:"" type:"existingfile" help:"File of answers; examples/ has two."`
+	Answers string `type:"existingfile" help:"File of answers; examples/ has two. Without it the questions are asked at the terminal."`
 	Out     string `required:"" help:"File that the configuration is written to."`
 }
 
 // Run implements the command.
 func (c *setupCommand) Run() error {
-	b, err := os.ReadFile(c.Answers)
+	answers, err := c.answers()
 	if err != nil {
-		return errors.Wrap(err, "read answers")
-	}
-	answers, faults := setup.ParseAnswers(c.Answers, b)
-	if err := faults.Err(); err != nil {
 		return err
 	}
 	result, err := setup.Generate(answers)
@@ -43,6 +39,18 @@
 	return nil
 }
 
+func (c *setupCommand) answers() (setup.Answers, error) {
+	if c.Answers == "" {
+		return setup.Ask(os.Stdin, os.Stdout)
+	}
+	b, err := os.ReadFile(c.Answers)
+	if err != nil {
+		return setup.Answers{}, errors.Wrap(err, "read answers")
+	}
+	answers, faults := setup.ParseAnswers(c.Answers, b)
+	return answers, faults.Err()
+}
+
 type checkCommand struct {
 	Settings      []string `help:"Settings files to check." type:"existingfile"`
 	Configuration []string `help:"Configuration files to check." type:"existingfile"`
--- a/cmd/jackdawbarrow/main.go
+++ b/cmd/jackdawbarrow/main.go
@@ -24,7 +24,7 @@
 	Ask    askCommand    `cmd:"" help:"Send one request as a caller does."`
 	Demo   demoCommand   `cmd:"" help:"Run a small deployment on loopback with stand-ins and send it work."`
 	Fake   fakeCommand   `cmd:"" help:"Run one stand-in of the platform or of an upstream."`
-	Setup  setupCommand  `cmd:"" help:"Generate a configuration from a file of answers."`
+	Setup  setupCommand  `cmd:"" help:"Generate a configuration from answers to a questionnaire."`
 	Check  checkCommand  `cmd:"" help:"Check settings and configurations; every fault is shown in one run."`
 	Key    keyCommand    `cmd:"" help:"Make a workspace key or an operator token and the hash that goes into the configuration."`
 	Init   initCommand   `cmd:"" help:"Store the first configuration of a deployment."`
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	answers, faults := setup.ParseAnswers("answers.yaml", b)
+//	answers, faults := setup.ParseAnswers("answers.yaml", b) // or setup.Ask(os.Stdin, os.Stdout)
 //	result, err := setup.Generate(answers)
 //	os.WriteFile("configuration.yaml", result.YAML, 0o600)
 //
--- a/setup/setup_test.go
+++ b/setup/setup_test.go
@@ -65,3 +65,41 @@
 		t.Errorf("got %v\nwant %s", err, want)
 	}
 }
+
+// Guards against a questionnaire whose defaults give no valid configuration,
+// and against an unusable answer that is taken.
+func TestAsk(t *testing.T) {
+	tests := map[string]struct{ in, wantOut, wantErr string }{
+		"defaults and one address": {
+			// region, preference, quality, data centres, kind, models, two
+			// versions and costs, services, capacity, address, teams and
+			// their outlet, operators
+			in: strings.Repeat("\n", 11) + "\nhttp://127.0.0.1:9101\n" + strings.Repeat("\n", 7) + "\n",
+		},
+		"an unusable answer is asked again": {
+			in: "\nfast\ndelay\n2\n0.9\n" + strings.Repeat("\n", 8) + "\nhttp://127.0.0.1:9101\n" + strings.Repeat("\n", 8), wantOut: "one of cost, balanced, delay",
+		},
+		"input that ends": {in: "r\n", wantErr: "the input ended before the last question"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var out strings.Builder
+			answers, err := setup.Ask(strings.NewReader(tt.in), &out)
+			if tt.wantErr != "" {
+				if err == nil || err.Error() != tt.wantErr {
+					t.Fatalf("got %v, want %s", err, tt.wantErr)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatalf("%v after:\n%s", err, out.String())
+			}
+			if !strings.Contains(out.String(), tt.wantOut) {
+				t.Errorf("the dialog lacks %q:\n%s", tt.wantOut, out.String())
+			}
+			if _, err := setup.Generate(answers); err != nil {
+				t.Errorf("%v, from %+v", err, answers)
+			}
+		})
+	}
+}
