--- a/cmd/jackdawbarrow/main.go
+++ b/cmd/jackdawbarrow/main.go
@@ -20,16 +20,17 @@
 )
 
 type commands struct {
-	Serve  serveCommand  `cmd:"" help:"Run one entry VM."`
-	Ask    askCommand    `cmd:"" help:"Send one request as a caller does."`
-	Demo   demoCommand   `cmd:"" help:"Run a small deployment on loopback with stand-ins and send it work."`
-	Fake   fakeCommand   `cmd:"" help:"Run one stand-in of the platform or of an upstream."`
-	Setup  setupCommand  `cmd:"" help:"Generate a configuration from answers to a questionnaire."`
-	Check  checkCommand  `cmd:"" help:"Check settings and configurations; every fault is shown in one run."`
-	Key    keyCommand    `cmd:"" help:"Make a workspace key or an operator token and the hash that goes into the configuration."`
-	Init   initCommand   `cmd:"" help:"Store the first configuration of a deployment."`
-	Replay replayCommand `cmd:"" help:"Replay a recorded trace and check its stated outcomes."`
-	Codes  codesCommand  `cmd:"" help:"Print the table of result codes."`
+	Serve      serveCommand      `cmd:"" help:"Run one entry VM."`
+	Ask        askCommand        `cmd:"" help:"Send one request as a caller does."`
+	Demo       demoCommand       `cmd:"" help:"Run a small deployment on loopback with stand-ins and send it work."`
+	Fake       fakeCommand       `cmd:"" help:"Run one stand-in of the platform or of an upstream."`
+	Setup      setupCommand      `cmd:"" help:"Generate a configuration from answers to a questionnaire."`
+	Check      checkCommand      `cmd:"" help:"Check settings and configurations; every fault is shown in one run."`
+	Key        keyCommand        `cmd:"" help:"Make a workspace key or an operator token and the hash that goes into the configuration."`
+	Init       initCommand       `cmd:"" help:"Store the first configuration of a deployment."`
+	Replay     replayCommand     `cmd:"" help:"Replay a recorded trace and check its stated outcomes."`
+	Codes      codesCommand      `cmd:"" help:"Print the table of result codes."`
+	Completion completionCommand `cmd:"" help:"Print a script for completion in bash and zsh."`
 
 	Status     statusCommand     `cmd:"" group:"admin" help:"Show members, pools, roll-outs and suspensions."`
 	Apply      applyCommand      `cmd:"" group:"admin" help:"Create or replace an object from a YAML file."`
@@ -77,6 +78,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	kctx.BindTo(ctx, (*context.Context)(nil))
+	kctx.Bind(parser)
 	if err := kctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "jackdawbarrow: "+message(err))
 		return exitFailure
