--- a/owner/machine.go
+++ b/owner/machine.go
@@ -409,6 +409,7 @@
 		return
 	}
 	if m.refuseEarly(at, p, w, c) {
+		p.refundRetry(q)
 		return
 	}
 	w.key = keyOf(q)
@@ -494,6 +495,7 @@
 	c.u.add(at, held)
 	p.holders.served(c.u, q.Prefix, at)
 	if len(q.Exclude) == 0 {
+		p.earnRetry()
 		p.stats.Firsts++
 	} else {
 		p.stats.Retries++
--- a/owner/machine_test.go
+++ b/owner/machine_test.go
@@ -697,3 +697,36 @@
 		})
 	}
 }
+
+// Guards against a retry budget that refused requests fill: while credits are
+// short each request asks several pools, so the share of retries would grow
+// with the number of pools.
+func TestRefusedRequestsEarnNoRetries(t *testing.T) {
+	d := startedOwner(t, document(4))
+	retry := func() bool {
+		ticket := d.request(func(q *owner.AcquireRequested) { q.Exclude = []jdaw.UpstreamID{upstreamName(0)} })
+		g, ok := d.grants[ticket]
+		if ok {
+			d.release(g, jdaw.OutcomeFailed, nil)
+		}
+		return ok
+	}
+	spent := 0
+	for retry() {
+		spent++
+		if spent > 100 {
+			t.Fatal("the budget has no end")
+		}
+	}
+	full := d.fill(8)
+	for range 50 {
+		ticket := d.request(func(q *owner.AcquireRequested) { q.Wait = 0 })
+		d.mustRefuse(ticket, jdaw.CodeNoCapacity)
+	}
+	for _, g := range sortedOpen(d) {
+		d.release(g, jdaw.OutcomeOK, nil)
+	}
+	if full >= 10 || retry() {
+		t.Errorf("a retry was granted after %d first requests and 50 refused ones, want none before 10", full)
+	}
+}
--- a/owner/pool.go
+++ b/owner/pool.go
@@ -315,10 +315,16 @@
 	p.meanDuration += weight * (float64(d) - p.meanDuration)
 }
 
+// earnRetry adds to the retry budget for a granted first request. Refused ones
+// must not: a request asks several pools when credits are short, and each of
+// them would allow a part of a retry.
+func (p *pool) earnRetry() {
+	p.retryTokens = min(retryBurst, p.retryTokens+retryShare)
+}
+
 // spendRetry applies the retry budget.
 func (p *pool) spendRetry(q *AcquireRequested) bool {
 	if len(q.Exclude) == 0 {
-		p.retryTokens = min(retryBurst, p.retryTokens+retryShare)
 		return true
 	}
 	// Ten additions of 0.1 are a little less than 1.
@@ -330,6 +336,13 @@
 	return true
 }
 
+// refundRetry takes back spendRetry for a request that was refused.
+func (p *pool) refundRetry(q *AcquireRequested) {
+	if len(q.Exclude) > 0 {
+		p.retryTokens = min(retryBurst, p.retryTokens+1)
+	}
+}
+
 // snapshotStats returns the figures to publish.
 func (p *pool) snapshotStats(at time.Time) PoolStats {
 	s := p.stats
