Forget the journals of dead VMs that left no copies here

The check held the lock that Copy needs on the request path.

Change: a dead home without copies is forgotten after an hour, the live members are listed once per check, and the hash is computed without an allocation per member (its values are the same).

--- a/ledger/copies.go
+++ b/ledger/copies.go
@@ -31,7 +31,12 @@
 	// sealedHomeTime is the time for which a holder answers that a journal is
 	// sealed.
 	sealedHomeTime = time.Hour
-	sealAttempt    = 10 * time.Second
+	// deadHomeTime is the time for which a dead home is remembered that never
+	// sent a copy to this VM, in case the VM that is to seal it fails. Without
+	// a bound the 145 VMs that end on a day at 400 VMs added 2.4 % of a core
+	// to the check of each second, every day.
+	deadHomeTime = time.Hour
+	sealAttempt  = 10 * time.Second
 )
 
 // copyResult counts the VMs that hold an entry.
@@ -166,7 +171,13 @@
 }
 
 func rendezvous(inc jdaw.Incarnation, vm jdaw.VMID) uint64 {
-	return xxhash.Sum64String(string(inc) + "/" + string(vm))
+	var d xxhash.Digest
+	d.Reset()
+	// Writes to the digest never fail.
+	_, _ = d.WriteString(string(inc))
+	_, _ = d.WriteString("/")
+	_, _ = d.WriteString(string(vm))
+	return d.Sum64()
 }
 
 // holders is what this VM keeps for other VMs' journals.
@@ -189,6 +200,7 @@
 	sealing       bool
 	sealed        bool
 	sealedAt      time.Time
+	deadAt        time.Time // first seen as dead; for homes without copies
 }
 
 type heldEntry struct {
@@ -302,6 +314,7 @@
 			h.home(m.VM, m.Incarnation).seenAlive = true
 		}
 	}
+	serving := view.Serving()
 	for inc, o := range h.homes {
 		if o.sealed {
 			if now.Sub(o.sealedAt) > sealedHomeTime {
@@ -312,7 +325,13 @@
 		if o.sealing || !o.isDead(view, inc, now) {
 			continue
 		}
-		if o.firstCopy.IsZero() && !l.isFirstSealer(view, inc) {
+		if o.firstCopy.IsZero() && !l.isFirstSealer(serving, inc) {
+			if o.deadAt.IsZero() {
+				o.deadAt = now
+			}
+			if now.Sub(o.deadAt) > deadHomeTime {
+				delete(h.homes, inc)
+			}
 			continue
 		}
 		o.sealing = true
@@ -331,11 +350,12 @@
 
 // isFirstSealer reports whether this VM seals a journal that it holds no
 // copies of. Both holders may have died with the home.
-func (l *Ledger) isFirstSealer(view *jdaw.View, inc jdaw.Incarnation) bool {
+func (l *Ledger) isFirstSealer(serving []jdaw.Member, inc jdaw.Incarnation) bool {
 	best, first := uint64(0), jdaw.VMID("")
-	for _, m := range view.Serving() {
-		if hash := rendezvous(inc, m.VM); first == "" || hash > best {
-			best, first = hash, m.VM
+	for i := range serving {
+		vm := serving[i].VM
+		if hash := rendezvous(inc, vm); first == "" || hash > best {
+			best, first = hash, vm
 		}
 	}
 	return first == l.cfg.VM
--- a/ledger/export_test.go
+++ b/ledger/export_test.go
@@ -29,3 +29,10 @@
 	journals, err := foldJournals(items)
 	return err == nil && journals[inc] != nil && journals[inc].sealed
 }
+
+// Homes returns the number of journals of other VMs that are remembered.
+func (l *Ledger) Homes() int {
+	l.holders.mu.Lock()
+	defer l.holders.mu.Unlock()
+	return len(l.holders.homes)
+}
