Hold a starting upstream at its cold limit for its cold time

Cause: the limit grew with each round of timely answers alone, so an engine that can take 2 requests in its first second was given 3 about 0.4 s after its start. TestInvariantColdUpstream showed it at the first run: the engines whose logs were read fell over one to five times each in the first second.

Change: upstreams have coldMillis; until it has passed since the start that the load report's uptime shows, the limit stays at coldConcurrent, also after a change of owner. Without a reported uptime it counts from when the owner first saw the upstream.

Two more faults on the way, both seen in the same test: - Only one earlier incarnation was remembered. After two restarts within the lag of load reports a late result of the oldest counted as a new process. Together with ignoring late reports this left 7 to 11 of 20 upstreams at the cold limit for good (incarnation e3-2 held, reports of e3-4 ignored). The last eight are kept, and a report measured later than the switch wins. - A failure waited up to 20 ms in the batch of releases, and the incarnation that a failed resume shows was dropped. Meanwhile the owner granted full loads on the restarted engine. Failures are now sent at once.

The stand-in engine counted requests of its earlier incarnation as running in the new one; it no longer does.

Ruled out: counts that add up beyond the limit between 8 VMs (the runs before each fall were exactly the limit of the owner), and the change of owner.

--- a/config/check.go
+++ b/config/check.go
@@ -227,6 +227,9 @@
 		if u.ColdConcurrent < 1 || u.ColdConcurrent > u.MaxConcurrent {
 			c.fault(path+".coldConcurrent", "must be 1 to maxConcurrent")
 		}
+		if u.ColdMillis < 0 {
+			c.fault(path+".coldMillis", "must not be negative")
+		}
 		for j, v := range u.Versions {
 			mv := jdaw.ParseModelVersion(v)
 			if !d.hasVersion(mv.Model, mv.Version) {
--- a/config/document.go
+++ b/config/document.go
@@ -165,6 +165,9 @@
 	Versions       []string `json:"versions,omitempty" yaml:"versions,omitempty"`
 	MaxConcurrent  int      `json:"maxConcurrent" yaml:"maxConcurrent"`
 	ColdConcurrent int      `json:"coldConcurrent" yaml:"coldConcurrent"`
+	// ColdMillis is the time after a start in which the upstream can take no
+	// more than ColdConcurrent. 0 means that timely first tokens alone show it.
+	ColdMillis int `json:"coldMillis,omitempty" yaml:"coldMillis,omitempty"`
 	// ChecksFence says that the engine refuses orders with an old fencing number.
 	ChecksFence bool `json:"checksFence,omitempty" yaml:"checksFence,omitempty"`
 	Leaving     bool `json:"leaving,omitempty" yaml:"leaving,omitempty"`
--- a/engine/chat.go
+++ b/engine/chat.go
@@ -198,6 +198,7 @@
 		return s.broken(err)
 	}
 	if resp.StatusCode != http.StatusOK {
+		s.incarnation = resp.Header.Get(headerIncarnation)
 		return jdaw.Fail(jdaw.CodeStreamBroken, "%s cannot resume stream %s: %s", resp.Request.URL.Host, s.id, errorText(resp))
 	}
 	s.read(resp)
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -274,6 +274,10 @@
 			RequestID: c.id, Version: a.credit.Version, StreamID: stream.StreamID(), StreamStart: a.base, Position: a.position,
 		})
 		if failed != nil {
+			// A new incarnation cannot resume; the owner must hear of it.
+			if resumed != nil && resumed.UpstreamIncarnation() != "" {
+				a.incarnation = resumed.UpstreamIncarnation()
+			}
 			return err
 		}
 		// The broken stream is not closed: that would cancel the resumed one.
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -153,7 +153,7 @@
 
 type waiter struct {
 	priority int
-	admitted chan bool
+	admitted chan bool // false if the engine restarted meanwhile
 }
 
 // stream is a running answer. It goes on without a reader for ResumeFor.
@@ -302,12 +302,18 @@
 	for _, s := range e.streams {
 		s.stop(true)
 	}
+	for _, wt := range e.waiting {
+		wt.admitted <- false
+	}
 	e.streams = map[string]*stream{}
 	e.cache = nil
+	e.waiting = nil
+	e.running = 0 // what ran before does not load the new incarnation
 	e.number++
 	e.started = e.cfg.Clock().Add(down)
 	e.downTill = e.started
 	e.addEvent("cleared", "")
+	e.measure()
 }
 
 // takeFault reports whether the fault is to be applied to one more request.
@@ -338,10 +344,11 @@
 		e.refuse(w, "refused by a fault")
 		return
 	}
-	if !e.enter(w, r, body) {
+	number, ok := e.enter(w, r, body)
+	if !ok {
 		return
 	}
-	defer e.leave()
+	defer e.leave(number)
 	s, ok := e.start(w, r, body)
 	if !ok {
 		return
@@ -374,41 +381,43 @@
 	}
 }
 
-// enter takes a place in the batch, waiting by priority if it is full.
-func (e *Engine) enter(w http.ResponseWriter, r *http.Request, body chatBody) bool {
+// enter takes a place in the batch, waiting by priority if it is full. It
+// returns the incarnation whose batch it entered.
+func (e *Engine) enter(w http.ResponseWriter, r *http.Request, body chatBody) (int, bool) {
 	e.mu.Lock()
 	now := e.cfg.Clock()
 	switch {
 	case now.Before(e.downTill):
 		e.mu.Unlock()
 		writeFakeError(w, http.StatusInternalServerError, "engine is restarting", false)
-		return false
+		return 0, false
 	case e.leaving:
 		e.mu.Unlock()
 		e.refuse(w, "engine is leaving")
-		return false
+		return 0, false
 	case !contains(e.versions, body.Model):
 		e.mu.Unlock()
 		w.Header().Set(headerNotRun, "true")
 		writeFakeError(w, http.StatusNotFound, "version is not loaded: "+body.Model, true)
-		return false
+		return 0, false
 	}
 	if now.Sub(e.started) < e.cfg.ColdFor && e.running >= e.cfg.ColdCapacity {
 		e.restart(e.cfg.DownFor)
 		e.mu.Unlock()
 		writeFakeError(w, http.StatusInternalServerError, "engine fell over during its cold start", false)
-		return false
+		return 0, false
 	}
+	number := e.number
 	if e.running < e.cfg.Capacity {
 		e.running++
 		e.measure()
 		e.mu.Unlock()
-		return true
+		return number, true
 	}
 	if len(e.waiting) >= e.cfg.QueueLimit {
 		e.mu.Unlock()
 		e.refuse(w, "queue is full")
-		return false
+		return 0, false
 	}
 	wt := &waiter{priority: body.Priority, admitted: make(chan bool, 1)}
 	at := len(e.waiting)
@@ -419,15 +428,18 @@
 	e.measure()
 	e.mu.Unlock()
 	select {
-	case <-wt.admitted:
-		return true
+	case ok := <-wt.admitted:
+		if !ok {
+			panic(http.ErrAbortHandler)
+		}
+		return number, true
 	case <-r.Context().Done():
-		e.abandon(wt)
-		return false
+		e.abandon(wt, number)
+		return 0, false
 	}
 }
 
-func (e *Engine) abandon(wt *waiter) {
+func (e *Engine) abandon(wt *waiter, number int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for i, other := range e.waiting {
@@ -436,16 +448,19 @@
 			return
 		}
 	}
-	e.leaveLocked() // the place was given to it meanwhile
+	e.leaveLocked(number) // the place was given to it meanwhile
 }
 
-func (e *Engine) leave() {
+func (e *Engine) leave(number int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.leaveLocked()
+	e.leaveLocked(number)
 }
 
-func (e *Engine) leaveLocked() {
+func (e *Engine) leaveLocked(number int) {
+	if number != e.number {
+		return // the batch of an earlier incarnation
+	}
 	if len(e.waiting) > 0 {
 		e.waiting[0].admitted <- true
 		e.waiting = e.waiting[1:]
--- a/owner/holder.go
+++ b/owner/holder.go
@@ -45,8 +45,9 @@
 
 // Holder is the requester's side. It implements jdaw.Credits.
 type Holder struct {
-	n    *Node
-	wake chan struct{}
+	n      *Node
+	wake   chan struct{}
+	urgent chan struct{}
 
 	mu      sync.Mutex
 	held    map[string]Held
@@ -59,6 +60,7 @@
 	h := &Holder{
 		n:      n,
 		wake:   make(chan struct{}, 1),
+		urgent: make(chan struct{}, 1),
 		held:   map[string]Held{},
 		recent: map[jdaw.PoolID]time.Time{},
 	}
@@ -263,12 +265,17 @@
 		UpstreamIncarnation: r.UpstreamIncarnation,
 	}})
 	h.mu.Unlock()
+	if r.Outcome == jdaw.OutcomeFailed || r.Outcome == jdaw.OutcomeRefused || r.Leaving {
+		signal(h.urgent)
+	}
 	h.wakeUp()
 }
 
-func (h *Holder) wakeUp() {
+func (h *Holder) wakeUp() { signal(h.wake) }
+
+func signal(ch chan struct{}) {
 	select {
-	case h.wake <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
@@ -296,6 +303,9 @@
 		select {
 		case <-h.n.ctx.Done():
 			return
+		case <-h.urgent:
+			// Until the owner knows of the failure, it may go on granting full
+			// loads on an upstream that has restarted.
 		case <-time.After(releaseInterval):
 		}
 		for _, send := range h.flush() {
--- a/owner/pool.go
+++ b/owner/pool.go
@@ -131,7 +131,7 @@
 			delete(old, cfg.ID)
 			u.reconfigure(cfg)
 		} else {
-			u = newUpstream(p, cfg)
+			u = newUpstream(at, p, cfg)
 		}
 		u.pos = i
 		p.byID[cfg.ID] = u
--- a/owner/upstream.go
+++ b/owner/upstream.go
@@ -48,6 +48,9 @@
 	// leavingHold is the time for which an upstream's own word that it is
 	// leaving outweighs load reports that do not say so yet.
 	leavingHold = 2 * time.Second
+	// maxPast bounds the remembered incarnations. Results and load reports of
+	// the time before a restart arrive within seconds.
+	maxPast = 8
 	// historySize bounds the remembered changes of the own count.
 	historySize = 128
 )
@@ -77,6 +80,8 @@
 	refusals  int // in a row
 	jumps     int // in a row
 	coldSince time.Time
+	// coldUntil is the end of the time in which the limit does not grow.
+	coldUntil time.Time
 
 	credits []*credit // in order of grant
 	foreign int       // work that a load report shows beyond own credits
@@ -85,15 +90,19 @@
 	history    [historySize]ownCount
 	changes    int // number of entries ever written to history
 
-	incarnation     string
-	lastIncarnation string
-	uptime          time.Duration
-	measuredAt      time.Time
-	reportedAt      time.Time // arrival
-	reported        int       // running and queued
-	failedPolls     int
-	nextPoll        time.Time
-	versions        []int16
+	incarnation string
+	// past are the incarnations before, whose late news must not count as
+	// that of a new process.
+	past          [maxPast]string
+	incarnations  int // number of incarnations ever written to past
+	incarnationAt time.Time
+	uptime        time.Duration
+	measuredAt    time.Time
+	reportedAt    time.Time // arrival
+	reported      int       // running and queued
+	failedPolls   int
+	nextPoll      time.Time
+	versions      []int16
 
 	reportedVersions []jdaw.ModelVersion
 
@@ -105,9 +114,10 @@
 	prefixes      prefixRing
 }
 
-func newUpstream(p *pool, cfg config.Upstream) *upstream {
+func newUpstream(at time.Time, p *pool, cfg config.Upstream) *upstream {
 	u := &upstream{cfg: cfg, pool: p, hash: xxhash.Sum64String(string(cfg.ID))}
 	u.limit = u.coldLimit()
+	u.coldUntil = at.Add(u.coldTime())
 	u.setVersions()
 	return u
 }
@@ -132,6 +142,12 @@
 	return min(max(u.cfg.ColdConcurrent, 1), u.maxLimit())
 }
 
+// coldTime is the time after a start in which the upstream can take no more
+// than its cold limit, however well it answers.
+func (u *upstream) coldTime() time.Duration {
+	return time.Duration(u.cfg.ColdMillis) * time.Millisecond
+}
+
 // inUse is the number of credits that count against the limit.
 func (u *upstream) inUse() int { return len(u.credits) + u.foreign }
 
@@ -257,6 +273,9 @@
 	if measured.IsZero() || measured.After(at) {
 		measured = at
 	}
+	if u.isLate(at, r.Incarnation, measured) {
+		return
+	}
 	age := u.measuredAt.Sub(measured)
 	if age > 0 && age < maxClockStep {
 		return // overtaken by a later report
@@ -266,9 +285,13 @@
 		u.foreign = 0
 		u.saidLeaving = time.Time{}
 		u.returnToCold(at)
+		if r.Uptime > 0 {
+			u.coldUntil = at.Add(u.coldTime() - r.Uptime)
+		}
 	}
-	u.setIncarnation(r.Incarnation)
+	u.setIncarnation(at, r.Incarnation)
 	u.uptime = r.Uptime
+	u.learnStart(at, r.Uptime, measured)
 	u.measuredAt, u.reportedAt = measured, at
 	u.capacity = r.Capacity
 	u.limit = min(u.limit, u.maxLimit())
@@ -283,6 +306,20 @@
 	u.sync()
 }
 
+// learnStart derives the end of the cold time from a reported uptime. The
+// arrival stands for the time of the measurement, which is by another clock;
+// the cold time ends later by the report's lag. A report from before the
+// return to the cold limit does not end it.
+func (u *upstream) learnStart(at time.Time, uptime time.Duration, measured time.Time) {
+	if uptime <= 0 {
+		return
+	}
+	until := at.Add(u.coldTime() - uptime)
+	if until.After(u.coldUntil) || measured.After(u.coldSince.Add(clockTolerance)) {
+		u.coldUntil = until
+	}
+}
+
 func (u *upstream) foreignIn(reported int, measured time.Time) int {
 	least, most := u.ownAround(measured)
 	atMost := max(0, reported-least)
@@ -301,12 +338,35 @@
 	return inc != "" && u.incarnation != "" && inc != u.incarnation
 }
 
-func (u *upstream) setIncarnation(inc string) {
+// isLate reports whether a load report is of an incarnation before the present
+// one and was measured before a result showed the present one. A later report
+// is right: then the result was the late one, of a request that an owner
+// before this one had granted.
+func (u *upstream) isLate(at time.Time, inc string, measured time.Time) bool {
+	return u.isPast(inc) && measured.Before(u.incarnationAt.Add(clockTolerance)) &&
+		at.Sub(u.incarnationAt) < staleReport
+}
+
+func (u *upstream) isPast(inc string) bool {
+	if inc == "" || inc == u.incarnation {
+		return false
+	}
+	for _, p := range u.past {
+		if p == inc {
+			return true
+		}
+	}
+	return false
+}
+
+func (u *upstream) setIncarnation(at time.Time, inc string) {
 	if inc == "" || inc == u.incarnation {
 		return
 	}
-	u.lastIncarnation = u.incarnation
+	u.past[u.incarnations%maxPast] = u.incarnation
+	u.incarnations++
 	u.incarnation = inc
+	u.incarnationAt = at
 }
 
 // dropStaleReport forgets foreign work if reports stopped.
@@ -331,6 +391,7 @@
 	u.refusals = 0
 	u.jumps = 0
 	u.coldSince = at
+	u.coldUntil = at.Add(u.coldTime())
 	u.prefixes.clear(u.pool.holders, u)
 	u.sync()
 }
@@ -345,11 +406,11 @@
 func (u *upstream) end(at time.Time, c *credit, r Released, inTime time.Duration) {
 	// A late result of the process before the restart says nothing of the
 	// process that runs now.
-	if r.UpstreamIncarnation != "" && r.UpstreamIncarnation == u.lastIncarnation {
+	if u.isPast(r.UpstreamIncarnation) {
 		return
 	}
 	if u.isNewIncarnation(r.UpstreamIncarnation) {
-		u.setIncarnation(r.UpstreamIncarnation)
+		u.setIncarnation(at, r.UpstreamIncarnation)
 		u.uptime = 0
 		u.returnToCold(at)
 	}
@@ -382,7 +443,7 @@
 		return
 	}
 	u.jumps = 0
-	if c.grantedAt.Before(u.coldSince) || r.FirstToken > inTime {
+	if c.grantedAt.Before(u.coldSince) || at.Before(u.coldUntil) || r.FirstToken > inTime {
 		return
 	}
 	u.successes++
@@ -422,9 +483,13 @@
 }
 
 // restart sets the limit after a change of owner: what runs is known to fit,
-// and more has to be earned.
+// and more has to be earned. A count that exceeds the cold limit in the cold
+// time is of the process before a restart.
 func (u *upstream) restart(at time.Time) {
-	u.limit = min(max(u.coldLimit(), u.inUse()), u.maxLimit())
+	u.limit = u.coldLimit()
+	if !at.Before(u.coldUntil) {
+		u.limit = min(max(u.limit, u.inUse()), u.maxLimit())
+	}
 	u.successes = 0
 	u.coldSince = at
 	u.sync()
