--- a/config/check.go
+++ b/config/check.go
@@ -236,6 +236,9 @@
 				c.fault(index(path+".placement", j), fmt.Sprintf("%q is not a version of a model here", v))
 			}
 		}
+		if u.ColdMillis < 0 {
+			c.fault(path+".coldMillis", "must not be negative")
+		}
 		for j, v := range u.Versions {
 			mv := jdaw.ParseModelVersion(v)
 			if !d.hasVersion(mv.Model, mv.Version) {
--- a/config/document.go
+++ b/config/document.go
@@ -171,6 +171,9 @@
 	Placement      []string `json:"placement,omitempty" yaml:"placement,omitempty"`
 	MaxConcurrent  int      `json:"maxConcurrent" yaml:"maxConcurrent"`
 	ColdConcurrent int      `json:"coldConcurrent" yaml:"coldConcurrent"`
+	// ColdMillis is the time after a start in which the upstream can take no
+	// more than ColdConcurrent. 0 means that timely first tokens alone show it.
+	ColdMillis int `json:"coldMillis,omitempty" yaml:"coldMillis,omitempty"`
 	// ChecksFence says that the engine refuses orders with an old fencing number.
 	ChecksFence bool `json:"checksFence,omitempty" yaml:"checksFence,omitempty"`
 	Leaving     bool `json:"leaving,omitempty" yaml:"leaving,omitempty"`
