Seal journals whose holders and sealer died with their home

Change: one VM lists the names of the journals every 3 s (one key listing) and seals those that had no live writer for 10 s. jdaw.Store and its client get Names, which is the published keys and separator query.

Before: TestAllVMsReplacedAtOnce failed, the journals were not sealed after 20 s.

--- a/fakes/keyvalue.go
+++ b/fakes/keyvalue.go
@@ -382,6 +382,10 @@
 func (s *KeyValue) serveRead(w http.ResponseWriter, r *http.Request, key string) {
 	query := r.URL.Query()
 	recurse := query.Has("recurse")
+	if query.Has("keys") {
+		s.serveNames(w, r, key, query.Get("separator"))
+		return
+	}
 	after, _ := strconv.ParseUint(query.Get("index"), 10, 64)
 	kind := "get"
 	switch {
@@ -440,6 +444,29 @@
 	}
 }
 
+// serveNames answers the keys with a prefix, each cut after the separator that
+// follows the prefix.
+func (s *KeyValue) serveNames(w http.ResponseWriter, r *http.Request, prefix, separator string) {
+	if !s.enter(w, r, "list", prefix) {
+		return
+	}
+	s.mu.Lock()
+	entries, index := s.lookup(prefix, true)
+	s.mu.Unlock()
+	names := []string{}
+	for _, e := range entries {
+		name := e.Key
+		if at := strings.Index(name[len(prefix):], separator); separator != "" && at >= 0 {
+			name = name[:len(prefix)+at+len(separator)]
+		}
+		if len(names) == 0 || names[len(names)-1] != name {
+			names = append(names, name)
+		}
+	}
+	body, _ := json.Marshal(names)
+	s.answerRead(w, len(names), body, index)
+}
+
 func (s *KeyValue) answerRead(w http.ResponseWriter, n int, body []byte, index uint64) {
 	w.Header().Set("X-Consul-Index", strconv.FormatUint(max(index, 1), 10))
 	w.Header().Set("Content-Type", "application/json")
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -12,7 +12,9 @@
 //
 // Anybody may end a journal by creating its next slot as a seal. The writer
 // then finds its slot taken, takes a new incarnation for new requests, and
-// writes the settlements of old ones to slots after the seal. 60 s after the
+// writes the settlements of old ones to slots after the seal. The holders of
+// copies seal the journal of a dead home; one VM also looks for journals
+// without a live writer, whose holders died as well. 60 s after the
 // seal, [Export] closes a journal that has unsettled requests with a last
 // slot; entries after that slot do not count, so a bill never changes.
 //
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -73,7 +73,8 @@
 	_ jdaw.Claims = (*Ledger)(nil)
 )
 
-// New starts the writer and the housekeeping goroutine.
+// New starts the writer, the housekeeping and the search for journals that
+// nobody seals.
 func New(cfg Config) *Ledger {
 	if cfg.Clock == nil {
 		cfg.Clock = jdaw.SystemClock{}
@@ -103,6 +104,7 @@
 	l.start(cfg.Incarnation)
 	l.mu.Unlock()
 	l.wg.Go(func() { l.housekeep(ctx) })
+	l.wg.Go(func() { l.sealOrphans(ctx) })
 	return l
 }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"jackdawbarrow"
+	"jackdawbarrow/config"
 	"jackdawbarrow/fakes"
 	"jackdawbarrow/ledger"
 )
@@ -318,3 +320,51 @@
 	}
 	t.Errorf("no bill for %s among %d", id, len(bills))
 }
+
+// Guards against requests that are never billed because everybody who knew of
+// their journal died: all VMs are replaced at once.
+func TestAllVMsReplacedAtOnce(t *testing.T) {
+	c := newCluster(t, 3)
+	ctx := context.Background()
+	var ids []jdaw.RequestID
+	for _, v := range c.vms {
+		id, err := v.Open(ctx, jdaw.Bill{Workspace: "w"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ids = append(ids, id)
+	}
+	time.Sleep(300 * time.Millisecond) // the opened entries are in slots
+	for i, v := range c.vms {
+		c.kill(i)
+		fresh := &vm{c: c, id: v.id, addr: v.addr}
+		c.mu.Lock()
+		c.members[i].Incarnation = jdaw.Incarnation(config.RandomHex(8))
+		c.mu.Unlock()
+		c.vms[i] = fresh
+	}
+	for i, v := range c.vms {
+		v.Ledger = c.startLedger(v, i, c.members[i].Incarnation)
+	}
+	for _, id := range ids {
+		for began := time.Now(); !ledger.IsSealed(ctx, c.st, id.Incarnation()); time.Sleep(50 * time.Millisecond) {
+			if time.Since(began) > 20*time.Second {
+				t.Fatalf("journal %s is not sealed after 20 s", id.Incarnation())
+			}
+		}
+	}
+	bills, err := ledger.ExportAt(ctx, c.st, time.Now().Add(2*ledger.LateSettlement))
+	if err != nil || len(bills) != len(ids) {
+		t.Fatalf("%d bills for %d requests, %v", len(bills), len(ids), err)
+	}
+	for _, b := range bills {
+		if b.State != jdaw.BillSettled || b.Code != jdaw.CodeOutcomeUnknown || b.Cost != 0 {
+			t.Errorf("want a bill of zero with unknown outcome, got %+v", b)
+		}
+	}
+	for _, v := range c.vms {
+		if !slices.Contains(ids, jdaw.RequestID(string(v.Incarnation())+"-1")) && ledger.IsSealed(ctx, c.st, v.Incarnation()) {
+			t.Errorf("the journal of a live VM was sealed")
+		}
+	}
+}
--- a/store.go
+++ b/store.go
@@ -21,6 +21,9 @@
 	Get(ctx context.Context, key string) (Item, bool, error)
 	// List returns the items whose keys start with prefix, sorted by key.
 	List(ctx context.Context, prefix string) ([]Item, error)
+	// Names returns the names directly under prefix, sorted: keys, and up to
+	// the next slash of longer keys, with that slash and without the prefix.
+	Names(ctx context.Context, prefix string) ([]string, error)
 	// Put writes the value if the key's index equals index; index 0 creates
 	// the key only if it does not exist. It returns false if the index differs.
 	Put(ctx context.Context, key string, value []byte, index uint64) (bool, error)
--- a/store/store.go
+++ b/store/store.go
@@ -159,6 +159,23 @@
 	return items, nil
 }
 
+// Names implements jdaw.Store.
+func (c *Client) Names(ctx context.Context, prefix string) ([]string, error) {
+	a, err := c.read(ctx, kvPath(prefix), url.Values{"keys": {""}, "separator": {"/"}}, c.cfg.ListTimeout)
+	if err != nil || a.status == http.StatusNotFound {
+		return nil, err
+	}
+	var names []string
+	if err := json.Unmarshal(a.body, &names); err != nil {
+		return nil, errors.Wrapf(err, "decode the names under %s", prefix)
+	}
+	for i := range names {
+		names[i] = strings.TrimPrefix(names[i], prefix)
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
 // Put implements jdaw.Store.
 func (c *Client) Put(ctx context.Context, key string, value []byte, index uint64) (bool, error) {
 	if len(value) > MaxValueBytes {
