--- a/bench/guard_test.go
+++ b/bench/guard_test.go
@@ -8,7 +8,6 @@
 	"jackdawbarrow"
 	"jackdawbarrow/config"
 	"jackdawbarrow/guard"
-	"jackdawbarrow/owner"
 )
 
 // BenchmarkCapacityMachineGuard measures one report of outcome counts at the
@@ -20,7 +19,7 @@
 			snap := config.NewSnapshot(doc, nil)
 			version := jdaw.ModelVersion{Model: modelName(0), Version: "v2"}
 			view := largeView("", largeVMs)
-			judge, ok := owner.JudgeOf(view, snap, dataCentres[0].Region, version)
+			judge, ok := guard.Judge(view, snap, dataCentres[0].Region, version)
 			if !ok {
 				b.Fatal("no judge")
 			}
--- a/ledger/orphans.go
+++ b/ledger/orphans.go
@@ -35,7 +35,7 @@
 	var o orphans
 	for sleep(ctx, orphanPeriod) {
 		view := l.cfg.Views.View()
-		if view == nil || view.Isolated || !l.isFirstSealer(view, "orphans") {
+		if view == nil || view.Isolated || !l.isFirstSealer(view.Serving(), "orphans") {
 			o = orphans{}
 			continue
 		}
