Treat a broken connection as a possible restart of the upstream

A broken connection halved the limit, 8 to 4, while a restarted engine bears 2. Ruled out: late load reports and late results of the old process, which an earlier change already ignores. Change: entry tells a broken connection from an error answer; the owner holds the upstream at its cold limit until a load report measured later shows the same process, and then gives half of the limit as before. Conclusion: closes the time between the first broken connection and the next load report; a restart that happens while requests are already on their way to the upstream cannot be known.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -268,6 +268,8 @@
 	switch jdaw.CodeOf(err).Code {
 	case jdaw.CodeUpstreamRefused:
 		return jdaw.OutcomeRefused
+	case jdaw.CodeUpstreamConnection, jdaw.CodeOutcomeUnknown, jdaw.CodeStreamBroken:
+		return jdaw.OutcomeBroken
 	case jdaw.CodeDeadline, jdaw.CodeKeyRunning:
 		return jdaw.OutcomeUnused
 	case jdaw.CodeBadField, jdaw.CodeBrokenJSON:
--- a/owner/holder.go
+++ b/owner/holder.go
@@ -265,7 +265,7 @@
 		UpstreamIncarnation: r.UpstreamIncarnation,
 	}})
 	h.mu.Unlock()
-	if r.Outcome == jdaw.OutcomeFailed || r.Outcome == jdaw.OutcomeRefused || r.Leaving {
+	if r.Outcome == jdaw.OutcomeFailed || r.Outcome == jdaw.OutcomeBroken || r.Outcome == jdaw.OutcomeRefused || r.Leaving {
 		signal(h.urgent)
 	}
 	h.wakeUp()
--- a/owner/machine_test.go
+++ b/owner/machine_test.go
@@ -44,6 +44,36 @@
 			tk := d.request(nil)
 			d.release(d.mustGrant(tk), jdaw.OutcomeFailed, nil)
 		}, 4},
+		"a broken connection holds the cold limit until the next report": {func(d *driver) {
+			d.grow(100)
+			d.report(up, nil)
+			tk := d.request(nil)
+			d.release(d.mustGrant(tk), jdaw.OutcomeBroken, nil)
+		}, 2},
+		"a report of the same process after a broken connection gives half of the limit": {func(d *driver) {
+			d.grow(100)
+			d.report(up, nil)
+			tk := d.request(nil)
+			d.release(d.mustGrant(tk), jdaw.OutcomeBroken, nil)
+			d.pass(time.Second)
+			d.report(up, nil)
+		}, 4},
+		"a report measured before the broken connection does not": {func(d *driver) {
+			d.grow(100)
+			d.report(up, nil)
+			d.pass(time.Second)
+			tk := d.request(nil)
+			d.release(d.mustGrant(tk), jdaw.OutcomeBroken, nil)
+			d.report(up, func(r *owner.LoadReported) { r.MeasuredAt = d.now.Add(-500 * time.Millisecond) })
+		}, 2},
+		"a new process after a broken connection stays at the cold limit": {func(d *driver) {
+			d.grow(100)
+			d.report(up, nil)
+			tk := d.request(nil)
+			d.release(d.mustGrant(tk), jdaw.OutcomeBroken, nil)
+			d.pass(time.Second)
+			d.report(up, func(r *owner.LoadReported) { r.Incarnation = "e2"; r.Uptime = time.Second })
+		}, 2},
 		"one refusal halves the limit": {func(d *driver) {
 			d.grow(100)
 			tk := d.request(nil)
--- a/owner/outcomes.go
+++ b/owner/outcomes.go
@@ -89,7 +89,8 @@
 }
 
 func (o *outcomes) count(r Released) {
-	isOK, isFailed := r.Outcome == jdaw.OutcomeOK, r.Outcome == jdaw.OutcomeFailed
+	isOK := r.Outcome == jdaw.OutcomeOK
+	isFailed := r.Outcome == jdaw.OutcomeFailed || r.Outcome == jdaw.OutcomeBroken
 	v := o.version(r.Version)
 	if v == nil || (!isOK && !isFailed) {
 		return
--- a/owner/upstream.go
+++ b/owner/upstream.go
@@ -80,6 +80,10 @@
 	refusals  int // in a row
 	jumps     int // in a row
 	coldSince time.Time
+	// limitAfter is the limit once a suspected restart has been ruled out; 0
+	// without a suspicion.
+	limitAfter  int
+	suspectedAt time.Time
 	// coldUntil is the end of the time in which the limit does not grow.
 	coldUntil time.Time
 
@@ -289,6 +293,9 @@
 			u.coldUntil = at.Add(u.coldTime() - r.Uptime)
 		}
 	}
+	if !restarted {
+		u.clearSuspicion(measured)
+	}
 	u.setIncarnation(at, r.Incarnation)
 	u.uptime = r.Uptime
 	u.learnStart(at, r.Uptime, measured)
@@ -387,6 +394,7 @@
 func (u *upstream) returnToCold(at time.Time) {
 	u.pool.stats.ColdReturns++
 	u.limit = min(u.limit, u.coldLimit())
+	u.limitAfter = 0
 	u.successes = 0
 	u.refusals = 0
 	u.jumps = 0
@@ -396,6 +404,28 @@
 	u.sync()
 }
 
+// suspectRestart holds an upstream whose connection broke at the cold limit
+// until a load report shows that its process is the same. A restarted process
+// breaks its connections before any report tells of it.
+func (u *upstream) suspectRestart(at time.Time) {
+	if u.limitAfter == 0 {
+		u.limitAfter = max(u.limit/2, u.coldLimit())
+	}
+	u.suspectedAt = at
+	u.limit = min(u.limit, u.coldLimit())
+	u.successes = 0
+	u.sync()
+}
+
+// clearSuspicion restores the limit after a report of the same process.
+func (u *upstream) clearSuspicion(measured time.Time) {
+	if u.limitAfter == 0 || !measured.After(u.suspectedAt.Add(clockTolerance)) {
+		return
+	}
+	u.limit = max(u.limit, min(u.limitAfter, u.maxLimit()))
+	u.limitAfter = 0
+}
+
 func (u *upstream) halve() {
 	u.limit = max(u.limit/2, u.coldLimit())
 	u.successes = 0
@@ -423,6 +453,9 @@
 	case jdaw.OutcomeFailed:
 		u.refusals = 0
 		u.halve()
+	case jdaw.OutcomeBroken:
+		u.refusals = 0
+		u.suspectRestart(at)
 	case jdaw.OutcomeRefused:
 		u.refusals++
 		if u.refusals >= refusalsToCold {
--- a/replay/rules.go
+++ b/replay/rules.go
@@ -146,7 +146,7 @@
 	switch released.Outcome {
 	case jdaw.OutcomeOK:
 		r.succeeded[g.upstream]++
-	case jdaw.OutcomeFailed:
+	case jdaw.OutcomeFailed, jdaw.OutcomeBroken:
 	default:
 		r.unconfirmed[versionKey{g.upstream.pool, g.version}]--
 	}
--- a/traffic.go
+++ b/traffic.go
@@ -53,7 +53,8 @@
 // Outcomes of a credit.
 const (
 	OutcomeOK        Outcome = "ok"
-	OutcomeFailed    Outcome = "failed"    // the upstream broke off or answered an error
+	OutcomeFailed    Outcome = "failed"    // the upstream answered an error
+	OutcomeBroken    Outcome = "broken"    // the connection broke off or could not be made
 	OutcomeRefused   Outcome = "refused"   // the upstream took no more work
 	OutcomeCancelled Outcome = "cancelled" // the caller went away
 	OutcomeUnused    Outcome = "unused"    // nothing was sent
