--- a/demo/harness_test.go
+++ b/demo/harness_test.go
@@ -41,10 +41,15 @@
 // start returns when each VM has answered a request.
 func start(t testing.TB, shape demo.Shape, seed uint64, recordDir string) *system {
 	t.Helper()
-	s := &system{t: t, seed: seed, shape: shape}
-	var err error
 	timing := testTiming
 	timing.Seed = seed
+	return startTimed(t, shape, timing, recordDir)
+}
+
+func startTimed(t testing.TB, shape demo.Shape, timing demo.EngineTiming, recordDir string) *system {
+	t.Helper()
+	s := &system{t: t, seed: timing.Seed, shape: shape}
+	var err error
 	s.standIns, err = demo.StartStandIns(t.Context(), shape, timing)
 	if err != nil {
 		t.Fatal(err)
