--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"jackdawbarrow"
+	"jackdawbarrow/config"
 	"jackdawbarrow/fakes"
 	"jackdawbarrow/ledger"
 )
@@ -114,12 +116,37 @@
 	if err == nil || jdaw.CodeOf(err).Code != jdaw.CodeOutcomeUnknown {
 		t.Fatalf("settlement after the journal was closed: %v", err)
 	}
+	// The same holds for a holder of a copy that comes too late.
+	late := jdaw.Bill{RequestID: id, Cost: 4}.WithSettlement(jdaw.CodeOK, time.Now())
+	if err := c.vms[1].Seal(ctx, sealed, []jdaw.Bill{late}); err != nil {
+		t.Fatal(err)
+	}
 	again, err := ledger.Export(ctx, c.st)
 	if err != nil || len(again) != 1 || again[0].Cost != 0 {
 		t.Fatalf("the bill changed to %+v, %v", again, err)
 	}
 }
 
+// Guards against two sealers whose settlements of a request differ: the first
+// in the journal counts, in any order of opened and settled entries.
+func TestFirstSettlementCounts(t *testing.T) {
+	c := newCluster(t, 2)
+	ctx := context.Background()
+	opened := jdaw.Bill{RequestID: "a-1", State: jdaw.BillOpen}
+	for _, b := range []jdaw.Bill{
+		opened, opened.WithSettlement(jdaw.CodeOK, time.Now()), opened,
+		opened.WithSettlement(jdaw.CodeUpstreamFailed, time.Now()),
+	} {
+		if err := c.vms[1].Seal(ctx, "a", []jdaw.Bill{b}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	bills, err := ledger.Export(ctx, c.st)
+	if err != nil || len(bills) != 1 || bills[0].Code != jdaw.CodeOK {
+		t.Fatalf("%+v, %v", bills, err)
+	}
+}
+
 // Guards against a last VM that stops serving, and against one that answers
 // before its record is safe.
 func TestSingleVM(t *testing.T) {
@@ -254,3 +281,90 @@
 		}
 	}
 }
+
+// Guards against a request that ran and has no bill: its home dies after the
+// settlement was queued and before a copy of it was sent, while the copies of
+// another request have told the holders which entries they may drop.
+func TestHomeDiesBetweenSettlementAndCopy(t *testing.T) {
+	c := newCluster(t, 3)
+	ctx := context.Background()
+	home := c.vms[0]
+	open := func() jdaw.RequestID {
+		id, err := home.Open(ctx, jdaw.Bill{Workspace: "w"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return id
+	}
+	open() // the first batch is written at once, the next one an interval later
+	time.Sleep(20 * time.Millisecond)
+	id := open()
+	cut, cancel := context.WithCancel(ctx)
+	cancel()
+	b := jdaw.Bill{RequestID: id, Workspace: "w", Cost: 1}
+	if err := home.Settle(cut, b.WithSettlement(jdaw.CodeOK, time.Now())); err == nil {
+		t.Fatal("the settlement was copied")
+	}
+	open()
+	c.kill(0)
+	c.setState(0, jdaw.MemberDead)
+	c.waitSealed(home.Incarnation())
+	bills, err := ledger.ExportAt(ctx, c.st, time.Now().Add(2*ledger.LateSettlement))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range bills {
+		if b.RequestID == id {
+			return
+		}
+	}
+	t.Errorf("no bill for %s among %d", id, len(bills))
+}
+
+// Guards against requests that are never billed because everybody who knew of
+// their journal died: all VMs are replaced at once.
+func TestAllVMsReplacedAtOnce(t *testing.T) {
+	c := newCluster(t, 3)
+	ctx := context.Background()
+	var ids []jdaw.RequestID
+	for _, v := range c.vms {
+		id, err := v.Open(ctx, jdaw.Bill{Workspace: "w"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ids = append(ids, id)
+	}
+	time.Sleep(300 * time.Millisecond) // the opened entries are in slots
+	for i, v := range c.vms {
+		c.kill(i)
+		fresh := &vm{c: c, id: v.id, addr: v.addr}
+		c.mu.Lock()
+		c.members[i].Incarnation = jdaw.Incarnation(config.RandomHex(8))
+		c.mu.Unlock()
+		c.vms[i] = fresh
+	}
+	for i, v := range c.vms {
+		v.Ledger = c.startLedger(v, i, c.members[i].Incarnation)
+	}
+	for _, id := range ids {
+		for began := time.Now(); !ledger.IsSealed(ctx, c.st, id.Incarnation()); time.Sleep(50 * time.Millisecond) {
+			if time.Since(began) > 20*time.Second {
+				t.Fatalf("journal %s is not sealed after 20 s", id.Incarnation())
+			}
+		}
+	}
+	bills, err := ledger.ExportAt(ctx, c.st, time.Now().Add(2*ledger.LateSettlement))
+	if err != nil || len(bills) != len(ids) {
+		t.Fatalf("%d bills for %d requests, %v", len(bills), len(ids), err)
+	}
+	for _, b := range bills {
+		if b.State != jdaw.BillSettled || b.Code != jdaw.CodeOutcomeUnknown || b.Cost != 0 {
+			t.Errorf("want a bill of zero with unknown outcome, got %+v", b)
+		}
+	}
+	for _, v := range c.vms {
+		if !slices.Contains(ids, jdaw.RequestID(string(v.Incarnation())+"-1")) && ledger.IsSealed(ctx, c.st, v.Incarnation()) {
+			t.Errorf("the journal of a live VM was sealed")
+		}
+	}
+}
--- a/rendezvous.go
+++ b/rendezvous.go
@@ -25,18 +25,24 @@
 // Rendezvous returns the ids in the order of their rendezvous hash for key.
 // When one id leaves, the order of the others does not change.
 func Rendezvous(key string, vms []VMID) []VMID {
-	out := append([]VMID(nil), vms...)
-	weight := make(map[VMID]uint64, len(out))
-	for _, vm := range out {
-		weight[vm] = RendezvousWeight(key, vm)
+	type weighted struct {
+		vm     VMID
+		weight uint64
 	}
-	sort.Slice(out, func(i, j int) bool {
-		a, b := out[i], out[j]
-		if weight[a] != weight[b] {
-			return weight[a] > weight[b]
+	list := make([]weighted, 0, len(vms))
+	for _, vm := range vms {
+		list = append(list, weighted{vm: vm, weight: RendezvousWeight(key, vm)})
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].weight != list[j].weight {
+			return list[i].weight > list[j].weight
 		}
-		return a < b
+		return list[i].vm < list[j].vm
 	})
+	out := make([]VMID, 0, len(list))
+	for _, h := range list {
+		out = append(out, h.vm)
+	}
 	return out
 }
 
--- a/serve/process.go
+++ b/serve/process.go
@@ -18,6 +18,7 @@
 	"jackdawbarrow/guard"
 	"jackdawbarrow/ledger"
 	"jackdawbarrow/loop"
+	"jackdawbarrow/orders"
 	"jackdawbarrow/owner"
 	"jackdawbarrow/peers"
 	"jackdawbarrow/replay"
@@ -39,12 +40,18 @@
 	settings config.Settings
 	log      *logrus.Entry
 
-	loop   *loop.Loop
+	loop    *loop.Loop
+	looping chan struct{} // closed when loop is assigned
+	// draining is closed when the platform or an operator takes this VM out.
+	draining chan struct{}
+	drained  bool // only the loop's goroutine uses it
+
 	peers  *peers.Node
 	spread *spread.Node
 	owner  *owner.Node
 	guard  *guard.Node
 	casc   *casc.Node
+	orders *orders.Node
 	ledger *ledger.Ledger
 	engine *engine.Client
 	entry  *entry.Entry
@@ -69,7 +76,7 @@
 	if cfg.Log == nil {
 		cfg.Log = logrus.New()
 	}
-	p := &Process{settings: cfg.Settings}
+	p := &Process{settings: cfg.Settings, looping: make(chan struct{}), draining: make(chan struct{})}
 	p.log = cfg.Log.WithField("vm", string(cfg.Settings.VM))
 	l, err := p.listen()
 	if err != nil {
@@ -125,13 +132,19 @@
 	return inc
 }
 
-func (p *Process) post(ev jdaw.Event) { p.loop.Post(ev) }
+// post sends an event to the loop. It waits for the loop to be assigned, since
+// the loop's goroutine executes actions before loop.New has returned.
+func (p *Process) post(ev jdaw.Event) {
+	<-p.looping
+	p.loop.Post(ev)
+}
 
 func (p *Process) buildControl() {
 	s := p.settings
 	p.spread = spread.New(spread.Config{
 		Self: s.VM, Peers: p.peers, Store: p.store, Post: p.post, Log: p.log,
 	})
+	p.orders = orders.New(orders.Config{Self: s.VM, Region: s.Region, Store: p.store, Post: p.post, Log: p.log})
 	p.guard = guard.New(guard.Config{Suspend: p.suspend})
 	p.casc = casc.New(casc.Config{Post: p.post})
 	p.owner = owner.NewNode(owner.NodeConfig{
@@ -148,6 +161,7 @@
 			owner.New(owner.Config{Self: p.settings.VM, Incarnation: inc}),
 			p.guard.Machine(),
 			p.casc.Machine(),
+			p.orders.Machine(),
 		},
 		Execute: p.execute,
 	}
@@ -160,19 +174,40 @@
 		cfg.Record, cfg.RecordEmitted, cfg.RecordAction = t.recorder.Record, t.recorder.Record, t.recorder.RecordAction
 	}
 	p.loop = loop.New(cfg)
+	close(p.looping)
 	return nil
 }
 
 // execute gives an action to the slice that carries it out.
 func (p *Process) execute(a jdaw.Action) {
 	p.recordControl(a)
-	if p.peers.Execute(a) || p.spread.Execute(a) || p.owner.Execute(a) {
+	p.watchDrain(a)
+	if p.peers.Execute(a) || p.spread.Execute(a) || p.owner.Execute(a) || p.orders.Execute(a) {
 		return
 	}
 	p.guard.Execute(a)
 	p.casc.Execute(a)
 }
 
+// Draining is closed when the VM list marks this VM as leaving or an operator
+// drains it. The caller then calls Drain, as it does on SIGTERM.
+func (p *Process) Draining() <-chan struct{} { return p.draining }
+
+func (p *Process) watchDrain(a jdaw.Action) {
+	leaving := false
+	switch a := a.(type) {
+	case jdaw.ViewChanged:
+		self, ok := a.View.Member(p.settings.VM)
+		leaving = ok && self.State == jdaw.MemberDraining
+	case config.Adopted:
+		leaving = a.Snapshot.IsDraining(p.settings.VM)
+	}
+	if leaving && !p.drained {
+		p.drained = true
+		close(p.draining)
+	}
+}
+
 // Drain refuses new work after the entry list has had time to expire, waits
 // for the requests in progress and ends the process.
 func (p *Process) Drain(ctx context.Context) {
@@ -197,6 +232,7 @@
 		p.log.WithError(err).Warn("the journal could not be closed; other VMs will seal it")
 	}
 	p.owner.Close()
+	p.orders.Close()
 	p.spread.Close()
 	p.grpc.Stop()
 	p.loop.Close()
@@ -223,6 +259,9 @@
 	if err != nil {
 		return err
 	}
+	if err := p.registerGauges(meter); err != nil {
+		return err
+	}
 	p.engine = engine.New(engine.Config{})
 	s := p.settings
 	cfg := entry.Config{
