Send a quarter less between VMs by a fixed gRPC window

Cause: gRPC estimates the best flow-control window with pings that it sends along with messages. Between VMs messages are short, so the pings were a quarter of all bytes. The servers also kept gRPC's default buffers of 32 KB and its limit of 4 MB for a received message, where clients admit 32 MB.

Change: the window is fixed at 64 KB on both sides; peers.ServerOptions gives servers the small buffers and the message limit that clients have.

--- a/bench/cluster_test.go
+++ b/bench/cluster_test.go
@@ -44,6 +44,10 @@
 	return countingConn{c, t}, nil
 }
 
+func (t *traffic) dialNetwork(ctx context.Context, _, addr string) (net.Conn, error) {
+	return t.dial(ctx, addr)
+}
+
 type countingConn struct {
 	net.Conn
 	t *traffic
@@ -131,8 +135,10 @@
 	listReads atomic.Int64
 	polls     atomic.Int64
 	traffic   traffic
-	vms       []*vm
-	document  config.Document
+	// pollTraffic is what crosses the connections to the upstreams.
+	pollTraffic traffic
+	vms         []*vm
+	document    config.Document
 }
 
 // startCluster starts n VMs before 1.5 upstreams per VM, as at the large
@@ -207,6 +213,7 @@
 	v.owner = owner.NewNode(owner.NodeConfig{
 		Self: v.self.VM, Views: v.peers, Configs: v.spread, Client: v.peers.Client, Header: v.peers.Header,
 		AwaitRevision: v.spread.AwaitRevision, Post: post, Log: quiet,
+		HTTP: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1, DialContext: c.pollTraffic.dialNetwork}},
 	})
 	v.ledger = ledger.New(ledger.Config{
 		VM: v.self.VM, Incarnation: v.self.Incarnation, Store: kv, Views: v.peers, Config: v.spread,
@@ -219,12 +226,13 @@
 		Execute: func(a jdaw.Action) { _ = v.peers.Execute(a) || v.spread.Execute(a) || v.owner.Execute(a) },
 	})
 	close(ready)
-	v.grpc = grpc.NewServer(grpc.ChainUnaryInterceptor(func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
+	observe := grpc.ChainUnaryInterceptor(func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
 		if m, ok := req.(interface{ GetHeader() *wire.Header }); ok {
 			v.peers.Observe(m.GetHeader())
 		}
 		return handle(ctx, req)
-	}))
+	})
+	v.grpc = grpc.NewServer(append(peers.ServerOptions(), observe)...)
 	wire.RegisterPeerServer(v.grpc, v)
 	go func() { _ = v.grpc.Serve(l) }() // ends with Stop
 	c.list.SetVM(peers.ListedVM{
@@ -269,6 +277,7 @@
 	processor          time.Duration
 	bytes, connections int64
 	listReads, polls   int64
+	pollBytes          int64
 	reads, writes      int64
 }
 
@@ -276,6 +285,7 @@
 	u := usage{
 		at: time.Now(), processor: processorTime(), bytes: c.traffic.bytes.Load(), connections: c.traffic.connections.Load(),
 		listReads: c.listReads.Load(), polls: c.polls.Load(),
+		pollBytes: c.pollTraffic.bytes.Load(),
 	}
 	for kind, n := range c.storeState().Counts {
 		switch kind {
@@ -322,6 +332,9 @@
 	b.ReportMetric(float64(to.reads-from.reads)/seconds, "kv-reads/s")
 	b.ReportMetric(float64(to.writes-from.writes)/seconds, "kv-writes/s")
 	b.ReportMetric(float64(to.polls-from.polls)/seconds, "polls/s")
+	if polls := to.polls - from.polls; polls > 0 {
+		b.ReportMetric(float64(to.pollBytes-from.pollBytes)/float64(polls), "B/poll")
+	}
 	b.ReportMetric(0, "ns/op")
 }
 
--- a/peers/connections.go
+++ b/peers/connections.go
@@ -32,6 +32,9 @@
 	// calls are queued on the dead connection for many minutes.
 	unackedTimeout = 3 * time.Second
 	bufferBytes    = 4 << 10
+	// windowBytes is fixed, because gRPC's estimate of the best window sends
+	// pings with the messages, which were a quarter of the bytes between VMs.
+	windowBytes = 64 << 10
 	// maxMessageBytes admits the configuration document and request bodies
 	// that are forwarded.
 	maxMessageBytes = 32 << 20
@@ -116,11 +119,26 @@
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithSharedWriteBuffer(true),
+		grpc.WithStaticStreamWindowSize(windowBytes),
+		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 		grpc.WithUnaryInterceptor(withDefaultTimeout),
 	)
 }
 
+// ServerOptions returns the options of a server that other VMs connect to.
+// Small buffers matter to a pool owner, to which every VM connects.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
+		grpc.SharedWriteBuffer(true),
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+	}
+}
+
 func withDefaultTimeout(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoke grpc.UnaryInvoker, opts ...grpc.CallOption) error {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
--- a/serve/listen.go
+++ b/serve/listen.go
@@ -68,7 +68,7 @@
 		},
 		Seeds: s.Seeds, ListURL: s.VMList, Post: p.post, Log: p.log, TLS: client, LocalAddr: s.Listen.Peers,
 	})
-	options := []grpc.ServerOption{grpc.ChainUnaryInterceptor(p.observeHeader)}
+	options := append(peers.ServerOptions(), grpc.ChainUnaryInterceptor(p.observeHeader))
 	if server != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(server)))
 	}
