--- a/bench/doc.go
+++ b/bench/doc.go
@@ -12,6 +12,7 @@
 //	go test ./bench -run NONE -bench CapacityRequests
 //	go test ./bench -run NONE -bench CapacityHeld
 //	go test ./bench -run NONE -bench CapacityMemory
+//	go test ./bench -run NONE -bench CapacityOwner
 //	go test ./bench -run NONE -bench 'Overhead$'
 //	go test ./bench -run NONE -bench OverheadMemory
 //
--- a/bench/memory_test.go
+++ b/bench/memory_test.go
@@ -93,21 +93,38 @@
 const probePeriod = 12 * time.Second
 
 // connect opens the given number of connections to the VM, each from another
-// member, and probes the VM over each until ctx ends.
-func (g *stubs) connect(ctx context.Context, b testing.TB, addr string, connections int) {
+// member, and calls the VM over each once a period until ctx ends.
+func (g *stubs) connect(ctx context.Context, b testing.TB, addr string, connections int, period time.Duration, call peerCall) {
 	var wg sync.WaitGroup
 	for i := range connections {
-		wg.Go(func() {
-			g.members[i%len(g.members)].probe(ctx, b, addr, time.Duration(i)*opening/time.Duration(connections))
-		})
+		delay := time.Duration(i) * opening / time.Duration(connections)
+		wg.Go(func() { g.members[i%len(g.members)].repeat(ctx, b, addr, delay, period, call) })
 	}
 	wg.Wait()
 }
 
+// peerCall is one call that a member makes of the measured VM.
+type peerCall func(ctx context.Context, c wire.PeerClient, s *stub) error
+
+func probe(ctx context.Context, c wire.PeerClient, s *stub) error {
+	_, err := c.Probe(ctx, &wire.ProbeRequest{Header: s.header()})
+	return err
+}
+
+// renew renews a credit of the first pool, as a VM does that holds one.
+func renew(ctx context.Context, c wire.PeerClient, s *stub) error {
+	pool := jdaw.PoolID{Kind: kindName(0), DataCentre: dataCentres[0].Name}.String()
+	_, err := c.Renew(ctx, &wire.RenewRequest{Header: s.header(), Held: []*wire.HeldCredit{
+		{Pool: pool},
+		{Pool: pool, Credit: string(s.self.Incarnation) + "-1", Upstream: "engine-1", Workspace: string(workspaceID(7))},
+	}})
+	return err
+}
+
 // opening is the time over which the connections are opened.
 const opening = 3 * time.Second
 
-func (s *stub) probe(ctx context.Context, b testing.TB, addr string, delay time.Duration) {
+func (s *stub) repeat(ctx context.Context, b testing.TB, addr string, delay, period time.Duration, call peerCall) {
 	conn, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy())
 	if err != nil {
 		b.Error(err)
@@ -120,35 +137,46 @@
 			return
 		case <-time.After(delay):
 		}
-		call, cancel := context.WithTimeout(ctx, 5*time.Second)
-		_, err := wire.NewPeerClient(conn).Probe(call, &wire.ProbeRequest{Header: s.header()})
+		callCtx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		err := call(callCtx, wire.NewPeerClient(conn), s)
 		cancel()
 		if err != nil && ctx.Err() == nil {
-			b.Errorf("probe of the measured VM: %v", err)
+			b.Errorf("call of the measured VM: %v", err)
 		}
-		delay = probePeriod
+		delay = period
 	}
 }
 
 // memoryCase is the surroundings of the measured VM.
 type memoryCase struct {
 	members, upstreams, workspaces int
-	inbound                        int // connections of other VMs that stay open
+	inbound                        int  // connections of other VMs that stay open
+	renews                         bool // once a second over each connection
+}
+
+// BenchmarkCapacityOwner measures a whole VM that owns a pool, by the number
+// of VMs that hold credits of the pool and renew them.
+func BenchmarkCapacityOwner(b *testing.B) {
+	for _, holders := range []int{0, 50, 100, 200, 399} {
+		b.Run(fmt.Sprintf("holders=%d", holders), func(b *testing.B) {
+			benchmarkMemory(b, memoryCase{largeVMs, largeUpstreams, largeWorkspaces, holders, true})
+		})
+	}
 }
 
 // BenchmarkCapacityMemory measures a whole VM in a process of its own: its
 // private memory, its connections and its processor time without requests.
 func BenchmarkCapacityMemory(b *testing.B) {
 	cases := []memoryCase{
-		{2, 15, 10, 0},
-		{50, largeUpstreams, largeWorkspaces, 0},
-		{100, largeUpstreams, largeWorkspaces, 0},
-		{200, largeUpstreams, largeWorkspaces, 0},
-		{400, 15, 10, 0},
-		{400, largeUpstreams, largeWorkspaces, 0},
-		{400, largeUpstreams, largeWorkspaces, 60},
-		{400, largeUpstreams, largeWorkspaces, 200},
-		{400, largeUpstreams, largeWorkspaces, 399},
+		{2, 15, 10, 0, false},
+		{50, largeUpstreams, largeWorkspaces, 0, false},
+		{100, largeUpstreams, largeWorkspaces, 0, false},
+		{200, largeUpstreams, largeWorkspaces, 0, false},
+		{400, 15, 10, 0, false},
+		{400, largeUpstreams, largeWorkspaces, 0, false},
+		{400, largeUpstreams, largeWorkspaces, 60, false},
+		{400, largeUpstreams, largeWorkspaces, 200, false},
+		{400, largeUpstreams, largeWorkspaces, 399, false},
 	}
 	for _, mc := range cases {
 		name := fmt.Sprintf("members=%d/upstreams=%d/workspaces=%d/inbound=%d", mc.members, mc.upstreams, mc.workspaces, mc.inbound)
@@ -183,7 +211,11 @@
 	defer wg.Wait()
 	defer cancel()
 	if mc.inbound > 0 {
-		wg.Go(func() { g.connect(ctx, b, vm.addrs[1], mc.inbound) })
+		period, call := probePeriod, peerCall(probe)
+		if mc.renews {
+			period, call = time.Second, renew
+		}
+		wg.Go(func() { g.connect(ctx, b, vm.addrs[1], mc.inbound, period, call) })
 	}
 	for b.Loop() {
 		time.Sleep(opening + 3*time.Second)
