Let a new session fall back to no other version

Cause: the first request of a session offered the owner its version and, as a fallback, the others. When the version had no free upstream, or the nearest data centre did not have it, the owner granted another one.

Change: a new session asks only for the first of its versions that some upstream in service offers by the configuration, and waits for that one.

Ruled out: the hash of the session id and the revision of the configuration (all VMs had confirmed the step before the sessions began).

--- a/entry/model.go
+++ b/entry/model.go
@@ -242,6 +242,8 @@
 		}
 	}
 	switch {
+	case len(out) > 1 && c.start != "":
+		return onlyOffered(snap, m.Kind, out), nil
 	case len(out) > 0:
 		return out, nil
 	case withdrawn:
@@ -250,6 +252,24 @@
 	return nil, jdaw.Fail(jdaw.CodeModelNotAllowed, "the workspace may not use model %q", model)
 }
 
+// onlyOffered returns the first version that an upstream in service offers by
+// the configuration. A new session must not fall back to another version
+// because the first one has no free upstream or none in the nearest data
+// centre: its first request may be at another VM at the same time, which must
+// come to the same version.
+func onlyOffered(snap *config.Snapshot, kind string, versions []jdaw.ModelVersion) []jdaw.ModelVersion {
+	for _, mv := range versions {
+		for i := range snap.Doc.Upstreams {
+			u := &snap.Doc.Upstreams[i]
+			offers := len(u.Versions) == 0 || containsString(u.Versions, mv.String())
+			if u.Kind == kind && offers && !snap.IsOut(u.DataCentre) && !snap.IsLeaving(u.ID) {
+				return []jdaw.ModelVersion{mv}
+			}
+		}
+	}
+	return versions[:1]
+}
+
 func (r *request) exactVersion(snap *config.Snapshot, c choice) ([]jdaw.ModelVersion, error) {
 	mv := c.exact
 	switch {
--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -78,6 +78,20 @@
 	return len(l.calls)
 }
 
+// failures counts the calls without an answer by what their callers saw.
+func failures(calls []call) map[string]int {
+	out := map[string]int{}
+	for _, c := range calls {
+		switch {
+		case c.err != nil:
+			out["connection lost"]++
+		case c.reply.Code != jdaw.CodeOK:
+			out[c.reply.Code.String()]++
+		}
+	}
+	return out
+}
+
 // fixedCallers returns n callers at each of the VMs.
 func (s *system) fixedCallers(n int, vms []*vm) []*demo.Caller {
 	var out []*demo.Caller
