Ask again when a pool's owner changes while a request waits

Cause: a request that found all pools full waited at their owners; when the owner gave its pool up, the refusal noOwner went straight to the caller. Only a request that met the change at its first question asked again. When five of eight VMs drain together and their successors join, one request can meet two such changes, and the caller's single retry does not help. TestInvariantGracefulShutdown showed it: a stream sent 1 s before SIGTERM ended with noOwner after its retry.

Ruled out: the drain itself (no stream was cut; the request had not been dispatched).

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -176,7 +176,13 @@
 			return credit, nil
 		}
 		if len(full) > 0 {
-			return r.acquireWaiting(full, q)
+			credit, err = r.acquireWaiting(full, q)
+			if err == nil || !isOwnerChange(err) {
+				return credit, err
+			}
+			// The owner gave its pool up while the request waited: the time of
+			// the change begins now.
+			began = r.e.cfg.Clock.Now()
 		}
 		waited := r.e.cfg.Clock.Now().Sub(began)
 		if !isOwnerChange(err) || waited > maxOwnerWait || r.remaining() <= ownerBackoff {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -259,6 +259,27 @@
 	h.checkBooks()
 }
 
+// Guards against a request that fails because the owner of the pool changes
+// while the request waits for a credit.
+func TestOwnerChangesWhileWaiting(t *testing.T) {
+	h := newHarness(t, nil)
+	waits := 0
+	h.refusal = func(q jdaw.CreditRequest) error {
+		switch {
+		case waits > 2:
+			return nil
+		case q.Wait == 0:
+			return jdaw.Fail(jdaw.CodeNoCapacity, "full")
+		}
+		waits++
+		return jdaw.Fail(jdaw.CodeNoOwner, "the owner changes")
+	}
+	if got := h.do("POST", "/v1/chat/completions", chatBody("small", "x", false)); got.status != 200 {
+		t.Fatalf("status %d: %s", got.status, got.body)
+	}
+	h.checkBooks()
+}
+
 // Guards against dispatch to a version that was withdrawn while the request
 // waited for its credit, and against dispatch on a credit that ran out.
 func TestPermissionIsCheckedBeforeDispatch(t *testing.T) {
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -48,7 +48,8 @@
 	claims     map[string]*claim
 	events     []jdaw.TimelineEvent
 	learned    []jdaw.StepOutcome
-	onAcquire  func(q jdaw.CreditRequest) // before a credit is granted
+	onAcquire  func(q jdaw.CreditRequest)       // before a credit is granted
+	refusal    func(q jdaw.CreditRequest) error // in place of a credit
 	useBefore  time.Duration
 	openErr    error
 	forwarded  []entry.Forwarded
@@ -77,6 +78,11 @@
 	if h.onAcquire != nil {
 		h.onAcquire(q)
 	}
+	if h.refusal != nil {
+		if err := h.refusal(q); err != nil {
+			return jdaw.Credit{}, err
+		}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, u := range h.Snapshot().Pool(q.Pool) {
--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -31,6 +31,11 @@
 // startLoad starts one caller per element. Each request has its own prompt,
 // which request gets.
 func startLoad(callers []*demo.Caller, request func(prompt string) demo.Request) *load {
+	return startPacedLoad(callers, request, 0)
+}
+
+// startPacedLoad is startLoad with a pause after each request.
+func startPacedLoad(callers []*demo.Caller, request func(prompt string) demo.Request, pause time.Duration) *load {
 	l := &load{stopped: make(chan struct{})}
 	for i, c := range callers {
 		l.wg.Add(1)
@@ -38,6 +43,7 @@
 			defer l.wg.Done()
 			for n := 0; !l.isStopped(); n++ {
 				l.send(c, fmt.Sprintf("caller %d asks question %d", i, n), request)
+				time.Sleep(pause)
 			}
 		}()
 	}
