--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -80,7 +80,9 @@
 	// Quality adds a mark to the answers of a version that [Rating] reads.
 	Quality map[string]float64 `json:"quality,omitempty"`
 	Leaving bool               `json:"leaving,omitempty"`
-	Restart bool               `json:"restart,omitempty"` // new incarnation at once
+	// ReportLeaving says so in load reports only and still takes requests.
+	ReportLeaving bool `json:"reportLeaving,omitempty"`
+	Restart       bool `json:"restart,omitempty"` // new incarnation at once
 }
 
 // EngineRun is one line of the engine's log: a request that it started to run.
@@ -268,6 +270,7 @@
 	if f.Restart {
 		e.restart(0)
 	}
+	e.measure()
 }
 
 // Answer returns the whole answer of a version to a prompt. The prompt is the
@@ -775,7 +778,7 @@
 	return LoadReport{
 		Incarnation: e.incarnation(), UptimeSeconds: max(0, now.Sub(e.started).Seconds()),
 		Running: e.running, Queued: len(e.waiting), Capacity: e.cfg.Capacity,
-		Versions: append([]string{}, e.versions...), Leaving: e.leaving, MeasuredAt: now,
+		Versions: append([]string{}, e.versions...), Leaving: e.leaving || e.fault.ReportLeaving, MeasuredAt: now,
 	}
 }
 
