Keep a return in force that is accepted before a suspension is written

Cause: a suspension that was ordered in an outage of the key-value service was written into the document as an order of the moment of the write. A return of the same data centre that had been accepted in between was reverted: TestInvariantDataCentreOut saw the return accepted as revision 2, the write of the suspension as revision 3 and the data centre out for good. Ruled out: a lost compare-and-swap (both revisions were there, in order) and a late pull (all VMs agreed on revision 3).

Change: an order that brings something back also lifts the suspensions of it that the VM knows. For those it does not know, the write leaves the object as it is if a change of the same object is later than the suspension; a suspension is given a time later than that of all changes its VM knows, so that differing clocks do not let an earlier change win. A withdrawn version is never brought back this way.

The write of a suspended version is now recorded as a change of its model, as operators' changes are. Before, it counted as another object, and an operator's new text of the model from before it would have undone it without a conflict.

Without the comparison of times: "entry1 does not have out=false after 6 s", stored revision 3, out. Without the lifting alone the test passes, since the comparison also covers it; lifting makes the return effective without waiting for the write.

--- a/admin/handler.go
+++ b/admin/handler.go
@@ -113,6 +113,7 @@
 		return err
 	}
 	c.Operator = op.Name
+	c.Ops = append(c.Ops, lifts(snap, c)...)
 	if c.ID == "" {
 		c.ID = config.RandomHex(changeIDBytes)
 	}
@@ -139,6 +140,7 @@
 // down. All of its steps must take something out of service.
 func (h *Handler) suspend(ctx context.Context, c config.Change, cause error) (Result, error) {
 	var list []jdaw.Suspension
+	at := h.orderedAt()
 	for i, op := range c.Ops {
 		kind, ok := suspensionKind(op.Kind)
 		if !ok {
@@ -146,7 +148,7 @@
 		}
 		list = append(list, jdaw.Suspension{
 			ID: c.ID + "-" + strconv.Itoa(i), Kind: kind, Name: op.Name,
-			Operator: c.Operator, Reason: op.Reason, At: h.cfg.Clock.Now().UTC(),
+			Operator: c.Operator, Reason: op.Reason, At: at,
 		})
 	}
 	var result Result
@@ -163,6 +165,50 @@
 	return result, nil
 }
 
+// orderedAt is the time of a suspension. It is later than that of all changes
+// that this VM knows, however the clocks of the VMs differ: a change with a
+// later time overrules the suspension when it is written into the document.
+func (h *Handler) orderedAt() time.Time {
+	at := h.cfg.Clock.Now().UTC()
+	for _, r := range h.cfg.Source.Snapshot().Doc.Changes {
+		if !at.After(r.At) {
+			at = r.At.Add(1)
+		}
+	}
+	return at
+}
+
+// lifts returns the steps that end the suspensions of what the change brings
+// back. Without them the accepted order would have no effect, and the write of
+// the suspension into the document would revert it.
+func lifts(snap *config.Snapshot, c config.Change) []config.Op {
+	var out []config.Op
+	for _, op := range c.Ops {
+		kind, ok := liftedKind(op.Kind)
+		if !ok {
+			continue
+		}
+		for _, s := range snap.Suspensions {
+			if s.Kind == kind && s.Name == op.Name {
+				out = append(out, config.Op{Kind: config.OpLiftSuspension, Name: s.ID})
+			}
+		}
+	}
+	return out
+}
+
+func liftedKind(kind config.OpKind) (jdaw.SuspensionKind, bool) {
+	switch kind {
+	case config.OpDataCentreIn:
+		return jdaw.SuspendDataCentre, true
+	case config.OpUndrainUpstream:
+		return jdaw.SuspendUpstream, true
+	case config.OpUndrainVM:
+		return jdaw.SuspendVM, true
+	}
+	return "", false
+}
+
 func suspensionKind(kind config.OpKind) (jdaw.SuspensionKind, bool) {
 	switch kind {
 	case config.OpDataCentreOut:
--- a/spread/fold.go
+++ b/spread/fold.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"slices"
 	"time"
 
 	"jackdawbarrow"
@@ -11,8 +12,37 @@
 // all VMs, so that two that fold at once cause one change.
 func foldID(s jdaw.Suspension) string { return "fold-" + s.ID }
 
-// foldObject names the object that a suspension restricts.
-func foldObject(s jdaw.Suspension) string { return string(s.Kind) + "/" + s.Name }
+// foldObject names the object that a suspension restricts as a change of the
+// same object does. Otherwise neither would see the other as a conflict, and
+// an operator's new text of a model could undo the withdrawal of its version.
+func foldObject(s jdaw.Suspension) string {
+	switch s.Kind {
+	case jdaw.SuspendDataCentre:
+		return string(config.ObjectDataCentre) + "/" + s.Name
+	case jdaw.SuspendVersion:
+		return string(config.ObjectModel) + "/" + jdaw.ParseModelVersion(s.Name).Model
+	case jdaw.SuspendUpstream:
+		return string(config.ObjectUpstream) + "/" + s.Name
+	}
+	return string(config.ObjectVM) + "/" + s.Name
+}
+
+// isOverruled reports whether a change of the same object was accepted after
+// the suspension was ordered. The operator may have made it at a VM that did
+// not know the suspension yet, and an accepted change is not to be reverted.
+// A version is withdrawn for good, so that no change overrules it.
+func isOverruled(doc config.Document, s jdaw.Suspension) bool {
+	if s.Kind == jdaw.SuspendVersion {
+		return false
+	}
+	object := foldObject(s)
+	for _, r := range doc.Changes {
+		if r.At.After(s.At) && slices.Contains(r.Objects, object) {
+			return true
+		}
+	}
+	return false
+}
 
 func isResolved(doc config.Document, id string) bool {
 	for _, have := range doc.ResolvedSuspensions {
@@ -25,8 +55,12 @@
 
 // foldInto returns the next revision of the document, which states the
 // restriction of the suspension and names it as resolved. The object may be
-// missing by now; then there is nothing left to restrict.
+// missing by now; then there is nothing left to restrict. The same goes for a
+// suspension that a later change has overruled.
 func foldInto(doc config.Document, s jdaw.Suspension, at time.Time) config.Document {
+	if isOverruled(doc, s) {
+		return withResolved(doc, s, at)
+	}
 	switch s.Kind {
 	case jdaw.SuspendDataCentre:
 		doc = withDataCentreOut(doc, jdaw.DataCentre(s.Name))
@@ -37,6 +71,10 @@
 	case jdaw.SuspendVM:
 		doc = withVMDraining(doc, jdaw.VMID(s.Name))
 	}
+	return withResolved(doc, s, at)
+}
+
+func withResolved(doc config.Document, s jdaw.Suspension, at time.Time) config.Document {
 	doc.ResolvedSuspensions = append(append([]string(nil), doc.ResolvedSuspensions...), s.ID)
 	return doc.WithRecord(config.ChangeRecord{
 		ID: foldID(s), Operator: s.Operator, Objects: []string{foldObject(s)}, At: at,
