Hold the limit of an upstream during its cold time

Cause: the limit of a returned upstream grew by one after as many successes as the limit, 0.3 s after the return at answers of 260 ms. An engine that fails beyond its cold capacity for 2 s gives no sign before it does, and fell over. Seen in TestInvariantDataCentreOut with 8 callers at the data centre's own VM: 4 of 14 repetitions, incarnations e0-2, e0-3 and e0-4 after one return. Ruled out: the return itself, which did set the limit to the cold limit, and work left from before (none for 3 s).

Change: an upstream may state coldSeconds. Successes of credits from before the end of that time do not raise the limit. 0, the default, keeps the growth from the first successes on.

--- a/config/check.go
+++ b/config/check.go
@@ -12,6 +12,9 @@
 	"jackdawbarrow"
 )
 
+// maxColdSeconds is the longest time for which an upstream stays cold.
+const maxColdSeconds = 3600
+
 // LoadDocument reads and checks a configuration in YAML.
 func LoadDocument(file string) (Document, error) {
 	b, err := os.ReadFile(file)
@@ -227,6 +230,9 @@
 		if u.ColdConcurrent < 1 || u.ColdConcurrent > u.MaxConcurrent {
 			c.fault(path+".coldConcurrent", "must be 1 to maxConcurrent")
 		}
+		if !(u.ColdSeconds >= 0 && u.ColdSeconds <= maxColdSeconds) {
+			c.fault(path+".coldSeconds", fmt.Sprintf("must be 0 to %d", maxColdSeconds))
+		}
 		for j, v := range u.Versions {
 			mv := jdaw.ParseModelVersion(v)
 			if !d.hasVersion(mv.Model, mv.Version) {
--- a/config/document.go
+++ b/config/document.go
@@ -165,6 +165,10 @@
 	Versions       []string `json:"versions,omitempty" yaml:"versions,omitempty"`
 	MaxConcurrent  int      `json:"maxConcurrent" yaml:"maxConcurrent"`
 	ColdConcurrent int      `json:"coldConcurrent" yaml:"coldConcurrent"`
+	// ColdSeconds is the time after a start or a return in which the upstream
+	// fails beyond ColdConcurrent. With 0 the limit grows from the first
+	// successes on.
+	ColdSeconds float64 `json:"coldSeconds,omitempty" yaml:"coldSeconds,omitempty"`
 	// ChecksFence says that the engine refuses orders with an old fencing number.
 	ChecksFence bool `json:"checksFence,omitempty" yaml:"checksFence,omitempty"`
 	Leaving     bool `json:"leaving,omitempty" yaml:"leaving,omitempty"`
--- a/owner/upstream.go
+++ b/owner/upstream.go
@@ -382,7 +382,10 @@
 		return
 	}
 	u.jumps = 0
-	if c.grantedAt.Before(u.coldSince) || r.FirstToken > inTime {
+	// Successes within the cold capacity say nothing of a load above it, and a
+	// cold upstream may give no sign before it fails.
+	coldTill := u.coldSince.Add(time.Duration(u.cfg.ColdSeconds * float64(time.Second)))
+	if c.grantedAt.Before(coldTill) || r.FirstToken > inTime {
 		return
 	}
 	u.successes++
