--- a/demo/caller.go
+++ b/demo/caller.go
@@ -42,6 +42,9 @@
 	IdemKey string // Idempotency-Key
 	Stream  bool
 	Session string // session token
+	// NewSession is the id of a session to start; the reply has its token.
+	NewSession string
+	Task       string // kind of task, by which cascades learn
 	// Repeatable requests are sent again after a failure that may have run.
 	Repeatable bool
 }
@@ -187,6 +190,8 @@
 	r.Header.Set("Content-Type", "application/json")
 	setHeader(r, "X-Jackdaw-Outlet", q.Outlet)
 	setHeader(r, "X-Jackdaw-Session", q.Session)
+	setHeader(r, "X-Jackdaw-New-Session", q.NewSession)
+	setHeader(r, "X-Jackdaw-Task", q.Task)
 	setHeader(r, "Idempotency-Key", q.IdemKey)
 	resp, err := c.HTTP.Do(r)
 	if err != nil {
