Refuse to step or finish the roll-out of a withdrawn version

Cause: a suspended version is written into the document as withdrawn with its roll-out halted, where an operator's withdrawal removes the roll-out. Finishing the halted roll-out made the withdrawn version the stable one, stepping it set it running again, and no other roll-out of the model could be started ("a roll-out of shuck-small@r1 is under way", seen in TestInvariantWithdrawnVersion in all five systems it then had).

Change: steps and the end of a roll-out of a withdrawn version are refused, and a new roll-out of the model replaces it.

--- a/config/change.go
+++ b/config/change.go
@@ -216,6 +216,11 @@
 	return nil, unknown("version", name)
 }
 
+func (d *Document) isWithdrawn(mv jdaw.ModelVersion) bool {
+	v, err := d.version(mv.String())
+	return err == nil && v.State == VersionWithdrawn
+}
+
 func (d *Document) endRollout(mv jdaw.ModelVersion) {
 	var kept []Rollout
 	for _, r := range d.Rollouts {
@@ -235,6 +240,11 @@
 	if op.Kind == OpStartRollout {
 		return d.startRollout(mv, v, op.Share, at)
 	}
+	// The roll-out of a suspended version stays in the document, halted. To
+	// step or to finish it would give the withdrawn version new work.
+	if v.State == VersionWithdrawn && op.Kind != OpHaltRollout {
+		return jdaw.Fail(jdaw.CodeInvalidChange, "version %s is withdrawn", mv)
+	}
 	for i := range d.Rollouts {
 		r := &d.Rollouts[i]
 		if r.Model != mv.Model || r.Version != mv.Version {
@@ -259,9 +269,16 @@
 		return jdaw.Fail(jdaw.CodeInvalidChange, "version %s is withdrawn", mv)
 	}
 	for _, r := range d.Rollouts {
-		if r.Model == mv.Model {
-			return jdaw.Fail(jdaw.CodeInvalidChange, "a roll-out of %s@%s is under way", r.Model, r.Version)
+		if r.Model != mv.Model {
+			continue
+		}
+		old := jdaw.ModelVersion{Model: r.Model, Version: r.Version}
+		if !d.isWithdrawn(old) {
+			return jdaw.Fail(jdaw.CodeInvalidChange, "a roll-out of %s is under way", old)
 		}
+		// A suspension leaves the roll-out of its version halted.
+		d.endRollout(old)
+		break
 	}
 	v.State = VersionRollout
 	d.Rollouts = append(d.Rollouts, Rollout{
