--- a/proof/datacentreout_test.go
+++ b/proof/datacentreout_test.go
@@ -96,6 +96,7 @@
 	time.Sleep(500 * time.Millisecond)
 	o.checkNoWork(answered.Add(noNewWorkAfter), time.Now())
 	o.checkServed(steady, began, time.Now())
+	o.checkEnded(loose[1], began.Add(-time.Minute), time.Now())
 	s.fault(s.kv, fakes.KeyValueFault{})
 	o.awaitReachable(cut, healed)
 	if i%4 == 2 {
@@ -138,6 +139,25 @@
 	}
 }
 
+// checkEnded fails if a request at the data centre's own VM, whose requests run
+// there, ended otherwise than whole or refused as not run.
+func (o *outage) checkEnded(w *traffic, from, to time.Time) {
+	o.t.Helper()
+	whole := 0
+	for _, e := range w.during(from, to) {
+		switch {
+		case e.err == nil && e.reply.Code == jdaw.CodeOK && o.isWhole(e):
+			whole++
+		case e.err != nil || e.reply.Code == jdaw.CodeOK || e.reply.Ran != jdaw.NotRun:
+			o.t.Errorf("a request that ran in %s did not end whole: %+v, %v", o.dc, e.reply, e.err)
+			return
+		}
+	}
+	if whole == 0 {
+		o.t.Errorf("no request ran in %s before the order", o.dc)
+	}
+}
+
 func (o *outage) isWhole(e exchange) bool {
 	var body struct {
 		Messages []struct{ Role, Content string } `json:"messages"`
