--- a/proof/allowedmodels_test.go
+++ b/proof/allowedmodels_test.go
@@ -58,7 +58,7 @@
 	}
 	began := time.Now()
 	time.Sleep(500 * time.Millisecond)
-	if len(s.runsOf(costly+"@v1", began)) == 0 {
+	if len(s.runsSince(costly+"@v1", began)) == 0 {
 		t.Error("the costly model did not run before its permission was withdrawn")
 	}
 	s.cutOff(cut)
--- a/proof/datacentreout_test.go
+++ b/proof/datacentreout_test.go
@@ -112,7 +112,7 @@
 // checkNoWork fails if the data centre's engine started anything in a span.
 func (o *outage) checkNoWork(from, to time.Time) {
 	o.t.Helper()
-	for _, run := range o.s.engineLog(o.engine) {
+	for _, run := range o.s.runsOf(s.engines[o.engine]) {
 		if run.At.After(from) && run.At.Before(to) {
 			o.t.Errorf("%s got new work %s after the bound: %+v\n%s", o.dc, run.At.Sub(from), run, o.s.describe(o.s.vms[0]))
 			return
@@ -273,7 +273,7 @@
 	// The write of the suspension must not undo the order later.
 	o.awaitState(time.Now().Add(-inForceWithin), false)
 	s.within(10*time.Second, "the data centre works again", func() bool {
-		for _, run := range s.engineLog(o.engine) {
+		for _, run := range s.runsOf(s.engines[o.engine]) {
 			if run.At.After(restarted) {
 				return true
 			}
@@ -308,7 +308,7 @@
 func (o *outage) checkCold(restarted time.Time) {
 	o.t.Helper()
 	incarnations := map[string]bool{}
-	for _, run := range o.s.engineLog(o.engine) {
+	for _, run := range o.s.runsOf(s.engines[o.engine]) {
 		if run.At.Before(restarted) {
 			continue
 		}
--- a/proof/observe_test.go
+++ b/proof/observe_test.go
@@ -235,8 +235,8 @@
 	return out
 }
 
-// runsOf returns what the engines started to run of a version after a time.
-func (s *system) runsOf(version string, after time.Time) []fakes.EngineRun {
+// runsSince returns what the engines started to run of a version after a time.
+func (s *system) runsSince(version string, after time.Time) []fakes.EngineRun {
 	s.t.Helper()
 	var out []fakes.EngineRun
 	for _, run := range s.engineRuns() {
@@ -247,14 +247,6 @@
 	return out
 }
 
-// engineLog returns the log of one engine.
-func (s *system) engineLog(i int) []fakes.EngineRun {
-	s.t.Helper()
-	var runs []fakes.EngineRun
-	s.read(s.engines[i].url(0)+"/fake/log", &runs)
-	return runs
-}
-
 // describe prints the control events around a fault, so that a report shows
 // whether the router or the machine was late.
 func (s *system) describe(v *vm) string {
--- a/proof/shutdown_test.go
+++ b/proof/shutdown_test.go
@@ -76,7 +76,7 @@
 		c.Fixed = true
 		holding = append(holding, c)
 	}
-	lookUp := func(prompt string) demo.Request {
+	lookUp := func(string) demo.Request {
 		return demo.Request{
 			Key: s.secrets.Workspaces["heats"], Method: http.MethodGet, Repeatable: true,
 			Path: "/v1/services/" + s.opts.shape.PlainKind + "/results/1",
--- a/proof/withdrawnversion_test.go
+++ b/proof/withdrawnversion_test.go
@@ -67,7 +67,7 @@
 	}
 	began := time.Now()
 	time.Sleep(300 * time.Millisecond)
-	if len(s.runsOf(version, began)) == 0 {
+	if len(s.runsSince(version, began)) == 0 {
 		t.Error("the version did not run before it was withdrawn")
 	}
 	frozen.freeze()
@@ -125,7 +125,7 @@
 		if _, err := s.to(v).Do(s.t.Context(), q); err != nil {
 			s.t.Fatal(err)
 		}
-		if len(s.runsOf(version, began)) > 0 {
+		if len(s.runsSince(version, began)) > 0 {
 			return reply.Session
 		}
 	}
