--- a/proof/datacentreout_test.go
+++ b/proof/datacentreout_test.go
@@ -112,7 +112,7 @@
 // checkNoWork fails if the data centre's engine started anything in a span.
 func (o *outage) checkNoWork(from, to time.Time) {
 	o.t.Helper()
-	for _, run := range o.s.runsOf(s.engines[o.engine]) {
+	for _, run := range o.s.runsOf(o.s.engines[o.engine]) {
 		if run.At.After(from) && run.At.Before(to) {
 			o.t.Errorf("%s got new work %s after the bound: %+v\n%s", o.dc, run.At.Sub(from), run, o.s.describe(o.s.vms[0]))
 			return
@@ -308,7 +308,7 @@
 func (o *outage) checkCold(restarted time.Time) {
 	o.t.Helper()
 	incarnations := map[string]bool{}
-	for _, run := range o.s.runsOf(s.engines[o.engine]) {
+	for _, run := range o.s.runsOf(o.s.engines[o.engine]) {
 		if run.At.Before(restarted) {
 			continue
 		}
