--- a/demo/caller.go
+++ b/demo/caller.go
@@ -42,6 +42,8 @@
 	IdemKey string // Idempotency-Key
 	Stream  bool
 	Session string // session token
+	// NewSession is the id of a session to start.
+	NewSession string
 	// Repeatable requests are sent again after a failure that may have run.
 	Repeatable bool
 }
@@ -52,6 +54,7 @@
 	Code       jdaw.Code // of a refusal; CodeOK for an answer
 	Ran        jdaw.Ran
 	RequestID  string
+	Model      string // "model@version" of the answer
 	Text       string
 	Session    string
 	FirstToken time.Duration
@@ -187,6 +190,7 @@
 	r.Header.Set("Content-Type", "application/json")
 	setHeader(r, "X-Jackdaw-Outlet", q.Outlet)
 	setHeader(r, "X-Jackdaw-Session", q.Session)
+	setHeader(r, "X-Jackdaw-New-Session", q.NewSession)
 	setHeader(r, "Idempotency-Key", q.IdemKey)
 	resp, err := c.HTTP.Do(r)
 	if err != nil {
@@ -196,6 +200,7 @@
 	reply.Status = resp.StatusCode
 	reply.Session = resp.Header.Get("X-Jackdaw-Session")
 	reply.RequestID = resp.Header.Get("X-Jackdaw-Request-Id")
+	reply.Model = resp.Header.Get("X-Jackdaw-Model")
 	if q.Stream && resp.StatusCode == http.StatusOK {
 		return readStream(resp.Body, reply, start)
 	}
--- a/ledger/copies.go
+++ b/ledger/copies.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
@@ -146,7 +145,7 @@
 	var all []ranked
 	for _, m := range view.Serving() {
 		if m.VM != l.cfg.VM {
-			all = append(all, ranked{m, rank(m), rendezvous(inc, m.VM)})
+			all = append(all, ranked{m, rank(m), jdaw.RendezvousWeight(string(inc), m.VM)})
 		}
 	}
 	sort.Slice(all, func(i, j int) bool {
@@ -170,16 +169,6 @@
 	return out
 }
 
-func rendezvous(inc jdaw.Incarnation, vm jdaw.VMID) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	// Writes to the digest never fail.
-	_, _ = d.WriteString(string(inc))
-	_, _ = d.WriteString("/")
-	_, _ = d.WriteString(string(vm))
-	return d.Sum64()
-}
-
 // holders is what this VM keeps for other VMs' journals.
 type holders struct {
 	mu      sync.Mutex
@@ -354,7 +343,7 @@
 	best, first := uint64(0), jdaw.VMID("")
 	for i := range serving {
 		vm := serving[i].VM
-		if hash := rendezvous(inc, vm); first == "" || hash > best {
+		if hash := jdaw.RendezvousWeight(string(inc), vm); first == "" || hash > best {
 			best, first = hash, vm
 		}
 	}
--- a/owner/machine_test.go
+++ b/owner/machine_test.go
@@ -44,6 +44,36 @@
 			tk := d.request(nil)
 			d.release(d.mustGrant(tk), jdaw.OutcomeFailed, nil)
 		}, 4},
+		"a broken connection holds the cold limit until the next report": {func(d *driver) {
+			d.grow(100)
+			d.report(up, nil)
+			tk := d.request(nil)
+			d.release(d.mustGrant(tk), jdaw.OutcomeBroken, nil)
+		}, 2},
+		"a report of the same process after a broken connection gives half of the limit": {func(d *driver) {
+			d.grow(100)
+			d.report(up, nil)
+			tk := d.request(nil)
+			d.release(d.mustGrant(tk), jdaw.OutcomeBroken, nil)
+			d.pass(time.Second)
+			d.report(up, nil)
+		}, 4},
+		"a report measured before the broken connection does not": {func(d *driver) {
+			d.grow(100)
+			d.report(up, nil)
+			d.pass(time.Second)
+			tk := d.request(nil)
+			d.release(d.mustGrant(tk), jdaw.OutcomeBroken, nil)
+			d.report(up, func(r *owner.LoadReported) { r.MeasuredAt = d.now.Add(-500 * time.Millisecond) })
+		}, 2},
+		"a new process after a broken connection stays at the cold limit": {func(d *driver) {
+			d.grow(100)
+			d.report(up, nil)
+			tk := d.request(nil)
+			d.release(d.mustGrant(tk), jdaw.OutcomeBroken, nil)
+			d.pass(time.Second)
+			d.report(up, func(r *owner.LoadReported) { r.Incarnation = "e2"; r.Uptime = time.Second })
+		}, 2},
 		"one refusal halves the limit": {func(d *driver) {
 			d.grow(100)
 			tk := d.request(nil)
@@ -640,6 +670,7 @@
 		&owner.CacheReported{Pool: poolID, Changes: []owner.CacheChange{{Sequence: 1, Prefix: 2, At: epoch}}},
 		&owner.OutstandingReported{Pool: poolID, Held: []owner.Held{{Credit: "c"}}},
 		&owner.RevisionPullFailed{Revision: 3},
+		&owner.CountsConfirmed{Counts: []owner.VersionCounts{{Version: v2, Pool: poolID, Counter: "inc/5", OK: 3, RatingSum: 0.25}}},
 	}
 	for _, ev := range events {
 		b, err := json.Marshal(ev)
@@ -696,3 +727,36 @@
 		})
 	}
 }
+
+// Guards against a retry budget that refused requests fill: while credits are
+// short each request asks several pools, so the share of retries would grow
+// with the number of pools.
+func TestRefusedRequestsEarnNoRetries(t *testing.T) {
+	d := startedOwner(t, document(4))
+	retry := func() bool {
+		ticket := d.request(func(q *owner.AcquireRequested) { q.Exclude = []jdaw.UpstreamID{upstreamName(0)} })
+		g, ok := d.grants[ticket]
+		if ok {
+			d.release(g, jdaw.OutcomeFailed, nil)
+		}
+		return ok
+	}
+	spent := 0
+	for retry() {
+		spent++
+		if spent > 100 {
+			t.Fatal("the budget has no end")
+		}
+	}
+	full := d.fill(8)
+	for range 50 {
+		ticket := d.request(func(q *owner.AcquireRequested) { q.Wait = 0 })
+		d.mustRefuse(ticket, jdaw.CodeNoCapacity)
+	}
+	for _, g := range sortedOpen(d) {
+		d.release(g, jdaw.OutcomeOK, nil)
+	}
+	if full >= 10 || retry() {
+		t.Errorf("a retry was granted after %d first requests and 50 refused ones, want none before 10", full)
+	}
+}
--- a/serve/process.go
+++ b/serve/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -19,6 +18,7 @@
 	"jackdawbarrow/guard"
 	"jackdawbarrow/ledger"
 	"jackdawbarrow/loop"
+	"jackdawbarrow/orders"
 	"jackdawbarrow/owner"
 	"jackdawbarrow/peers"
 	"jackdawbarrow/replay"
@@ -33,8 +33,6 @@
 type Config struct {
 	Settings config.Settings
 	Log      *logrus.Logger
-	// Trace, if set, takes the control events for replay.
-	Trace io.Writer
 }
 
 // Process is one running entry VM.
@@ -42,12 +40,18 @@
 	settings config.Settings
 	log      *logrus.Entry
 
-	loop   *loop.Loop
+	loop    *loop.Loop
+	looping chan struct{} // closed when loop is assigned
+	// draining is closed when the platform or an operator takes this VM out.
+	draining chan struct{}
+	drained  bool // only the loop's goroutine uses it
+
 	peers  *peers.Node
 	spread *spread.Node
 	owner  *owner.Node
 	guard  *guard.Node
 	casc   *casc.Node
+	orders *orders.Node
 	ledger *ledger.Ledger
 	engine *engine.Client
 	entry  *entry.Entry
@@ -59,6 +63,8 @@
 	lastStates   map[jdaw.VMID]jdaw.MemberState
 	lastIsolated bool
 
+	trace *trace // nil unless the settings ask for one
+
 	grpc    *grpc.Server
 	servers []*http.Server
 	wg      conc.WaitGroup
@@ -70,13 +76,13 @@
 	if cfg.Log == nil {
 		cfg.Log = logrus.New()
 	}
-	p := &Process{settings: cfg.Settings}
+	p := &Process{settings: cfg.Settings, looping: make(chan struct{}), draining: make(chan struct{})}
 	p.log = cfg.Log.WithField("vm", string(cfg.Settings.VM))
 	l, err := p.listen()
 	if err != nil {
 		return nil, err
 	}
-	if err := p.build(cfg); err != nil {
+	if err := p.build(); err != nil {
 		l.close()
 		return nil, err
 	}
@@ -93,7 +99,7 @@
 // build makes the slices and connects them. The order follows their needs:
 // peers before whatever sends messages, the ledger and the owner before the
 // entry.
-func (p *Process) build(cfg Config) error {
+func (p *Process) build() error {
 	s := p.settings
 	kv, err := store.New(store.Config{Addresses: s.Store.Addresses})
 	if err != nil {
@@ -114,8 +120,7 @@
 	if err := p.buildEntry(); err != nil {
 		return err
 	}
-	p.buildLoop(cfg)
-	return nil
+	return p.buildLoop(inc)
 }
 
 // renewIncarnation is called when the journal of this process was sealed while
@@ -127,13 +132,19 @@
 	return inc
 }
 
-func (p *Process) post(ev jdaw.Event) { p.loop.Post(ev) }
+// post sends an event to the loop. It waits for the loop to be assigned, since
+// the loop's goroutine executes actions before loop.New has returned.
+func (p *Process) post(ev jdaw.Event) {
+	<-p.looping
+	p.loop.Post(ev)
+}
 
 func (p *Process) buildControl() {
 	s := p.settings
 	p.spread = spread.New(spread.Config{
 		Self: s.VM, Peers: p.peers, Store: p.store, Post: p.post, Log: p.log,
 	})
+	p.orders = orders.New(orders.Config{Self: s.VM, Region: s.Region, Store: p.store, Post: p.post, Log: p.log})
 	p.guard = guard.New(guard.Config{Suspend: p.suspend})
 	p.casc = casc.New(casc.Config{Post: p.post})
 	p.owner = owner.NewNode(owner.NodeConfig{
@@ -142,34 +153,61 @@
 	})
 }
 
-func (p *Process) buildLoop(cfg Config) {
-	var record func(at time.Time, ev jdaw.Event)
-	if cfg.Trace != nil {
-		record = replay.NewRecorder(cfg.Trace).Record
-	}
-	p.loop = loop.New(loop.Config{
-		Record: record,
+func (p *Process) buildLoop(inc jdaw.Incarnation) error {
+	cfg := loop.Config{
 		Machines: []jdaw.Machine{
 			p.peers.Machine(),
 			p.spread.Machine(),
-			owner.New(owner.Config{Self: p.settings.VM, Incarnation: p.peers.Incarnation()}),
+			owner.New(owner.Config{Self: p.settings.VM, Incarnation: inc}),
 			p.guard.Machine(),
 			p.casc.Machine(),
+			p.orders.Machine(),
 		},
 		Execute: p.execute,
-	})
+	}
+	if p.settings.Record != "" {
+		t, err := newTrace(p.settings.Record, replay.Process{VM: p.settings.VM, Incarnation: inc})
+		if err != nil {
+			return err
+		}
+		p.trace = t
+		cfg.Record, cfg.RecordEmitted, cfg.RecordAction = t.recorder.Record, t.recorder.Record, t.recorder.RecordAction
+	}
+	p.loop = loop.New(cfg)
+	close(p.looping)
+	return nil
 }
 
 // execute gives an action to the slice that carries it out.
 func (p *Process) execute(a jdaw.Action) {
 	p.recordControl(a)
-	if p.peers.Execute(a) || p.spread.Execute(a) || p.owner.Execute(a) {
+	p.watchDrain(a)
+	if p.peers.Execute(a) || p.spread.Execute(a) || p.owner.Execute(a) || p.orders.Execute(a) {
 		return
 	}
 	p.guard.Execute(a)
 	p.casc.Execute(a)
 }
 
+// Draining is closed when the VM list marks this VM as leaving or an operator
+// drains it. The caller then calls Drain, as it does on SIGTERM.
+func (p *Process) Draining() <-chan struct{} { return p.draining }
+
+func (p *Process) watchDrain(a jdaw.Action) {
+	leaving := false
+	switch a := a.(type) {
+	case jdaw.ViewChanged:
+		self, ok := a.View.Member(p.settings.VM)
+		leaving = ok && self.State == jdaw.MemberDraining
+	case config.Adopted:
+		leaving = a.Snapshot.IsDraining(p.settings.VM)
+	}
+	if leaving && !p.drained {
+		p.drained = true
+		close(p.draining)
+	}
+}
+
 // Drain refuses new work after the entry list has had time to expire, waits
 // for the requests in progress and ends the process.
 func (p *Process) Drain(ctx context.Context) {
@@ -194,9 +232,11 @@
 		p.log.WithError(err).Warn("the journal could not be closed; other VMs will seal it")
 	}
 	p.owner.Close()
+	p.orders.Close()
 	p.spread.Close()
 	p.grpc.Stop()
 	p.loop.Close()
+	p.closeTrace()
 	p.peers.Close()
 	p.engine.Close()
 	p.wg.Wait()
@@ -219,6 +259,9 @@
 	if err != nil {
 		return err
 	}
+	if err := p.registerGauges(meter); err != nil {
+		return err
+	}
 	p.engine = engine.New(engine.Config{})
 	s := p.settings
 	cfg := entry.Config{
