--- a/proof/observe_test.go
+++ b/proof/observe_test.go
@@ -222,7 +222,7 @@
 	w.wg.Wait()
 }
 
-// since returns the exchanges that began in a span and have ended.
+// during returns the exchanges that began in a span and have ended.
 func (w *traffic) during(from, to time.Time) []exchange {
 	w.mu.Lock()
 	defer w.mu.Unlock()
