--- a/demo/caller.go
+++ b/demo/caller.go
@@ -88,11 +88,28 @@
 			break
 		}
 		c.forget(entry)
+		if isEntryLeaving(reply.Code) {
+			c.expire()
+		}
 	}
 	reply.Duration = time.Since(start)
 	return reply, err
 }
 
+// isEntryLeaving reports whether the refusal says that the entry list of the
+// caller is out of date.
+func isEntryLeaving(code jdaw.Code) bool {
+	return code == jdaw.CodeDataCentreOut || code == jdaw.CodeDraining || code == jdaw.CodeIsolated
+}
+
+// expire has the next request ask for the entry list. Other entries of the old
+// list may be leaving as well, as all of a data centre that was taken out.
+func (c *Caller) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.until = time.Time{}
+}
+
 func (c *Caller) mayRepeat(q Request, reply Reply, err error) bool {
 	if err != nil {
 		return q.Repeatable || q.IdemKey != ""
