Test that graceful shutdowns interrupt no request

TestInvariantGracefulShutdown sends SIGTERM to 5 of 8 VMs at once, in 4 rounds, while 5 new VMs start. Streams that outlast the grace run at the VMs that leave, callers use the old entry list for as long as it may be kept, and calls without a key, which nobody may repeat, go on.

--- a/proof/shutdown_test.go
+++ b/proof/shutdown_test.go
@@ -19,6 +19,7 @@
 type shutdownLoad struct {
 	streams *load // long streams, callers that refresh their entry list
 	calls   *load // calls of the plain service that must not be repeated
+	long    *load // long streams at the VMs that leave, until the list expires
 	holders *load // callers that hold the list from before the SIGTERM
 }
 
@@ -26,13 +27,13 @@
 // hold the old entry list, or leaves nobody to serve when several VMs are
 // replaced together.
 func TestInvariantGracefulShutdown(t *testing.T) {
-	s := start(t, options{shape: smallShape(8), firstToken: 50 * time.Millisecond, perToken: 20 * time.Millisecond, tokens: 240})
+	s := start(t, options{shape: smallShape(8), firstToken: 50 * time.Millisecond, perToken: 20 * time.Millisecond, tokens: 120})
 	small := s.opts.shape.Models[0].Name
 	const together = 5
 	serving := append([]*vm(nil), s.vms...)
 	for ended, round := 0, 0; ended < times(20); round++ {
 		leaving, staying := serving[:together], serving[together:]
-		l := s.startShutdownLoad(small, serving)
+		l := s.startShutdownLoad(small, serving, leaving)
 		time.Sleep(time.Second)
 		term := time.Now()
 		for _, v := range leaving {
@@ -44,7 +45,8 @@
 			fresh = append(fresh, s.startVM(len(s.vms)))
 		}
 		time.Sleep(time.Until(term.Add(keepList)))
-		holders := l.holders.stop()
+		holders := l.holders.stop() // at once; the long streams take a while
+		long := l.long.stop()
 		for _, v := range leaving {
 			if !v.waitEnd(30 * time.Second) {
 				t.Fatalf("%s has not ended 30 s after SIGTERM", v.id)
@@ -55,7 +57,7 @@
 			s.listVMs(fakes.VMListChange{Remove: []jdaw.VMID{v.id}})
 		}
 		took := time.Since(term).Round(10 * time.Millisecond)
-		s.checkShutdown(l, holders, term)
+		s.checkShutdown(l, long, holders, term)
 		t.Logf("round %d: %d VMs ended within %s of SIGTERM", round, len(leaving), took)
 		for _, v := range fresh {
 			s.within(20*time.Second, string(v.id)+" serves", func() bool { return s.isServing(v) })
@@ -65,7 +67,7 @@
 	}
 }
 
-func (s *system) startShutdownLoad(model string, vms []*vm) *shutdownLoad {
+func (s *system) startShutdownLoad(model string, vms, leaving []*vm) *shutdownLoad {
 	var refreshing, holding, ordering []*demo.Caller
 	for range 16 {
 		refreshing = append(refreshing, s.caller(vms...))
@@ -76,7 +78,7 @@
 		c.Fixed = true
 		holding = append(holding, c)
 	}
-	lookUp := func(prompt string) demo.Request {
+	lookUp := func(_ string) demo.Request {
 		return demo.Request{
 			Key: s.secrets.Workspaces["heats"], Method: http.MethodGet, Repeatable: true,
 			Path: "/v1/services/" + s.opts.shape.PlainKind + "/results/1",
@@ -85,6 +87,7 @@
 	return &shutdownLoad{
 		streams: startLoad(refreshing, s.stream("scoring", model)),
 		calls:   startLoad(ordering, func(prompt string) demo.Request { return s.unkeyedOrder(prompt) }),
+		long:    startLoad(s.fixedCallers(2, leaving), s.stream("stewards", model)),
 		holders: startPacedLoad(holding, lookUp, 20*time.Millisecond),
 	}
 }
@@ -98,7 +101,7 @@
 }
 
 // checkShutdown stops the load and checks each call.
-func (s *system) checkShutdown(l *shutdownLoad, holders []call, term time.Time) {
+func (s *system) checkShutdown(l *shutdownLoad, long, holders []call, term time.Time) {
 	s.t.Helper()
 	var streams, calls []call
 	var wg sync.WaitGroup
@@ -107,7 +110,7 @@
 	go func() { defer wg.Done(); calls = l.calls.stop() }()
 	wg.Wait()
 	version := s.opts.shape.Models[0].Name + "@v1"
-	for _, c := range streams {
+	for _, c := range append(streams, long...) {
 		if c.err != nil || c.reply.Code != jdaw.CodeOK {
 			s.t.Errorf("stream sent %s after SIGTERM to %s: %s, %v", c.at.Sub(term), c.reply.Entry, c.reply.Code, c.err)
 		} else if c.reply.Text != s.answerTo(version, c.prompt) {
@@ -119,5 +122,5 @@
 			s.t.Errorf("call sent %s after SIGTERM to %s: %s %s, %d tries, %v", c.at.Sub(term), c.reply.Entry, c.reply.Code, c.reply.Ran, c.reply.Tries, c.err)
 		}
 	}
-	s.t.Logf("%d streams, %d calls, %d look-ups by the old list", len(streams), len(calls), len(holders))
+	s.t.Logf("%d streams and %d by the old list, %d calls, %d look-ups by the old list", len(streams), len(long), len(calls), len(holders))
 }
