--- a/proof/atmostonce_test.go
+++ b/proof/atmostonce_test.go
@@ -27,7 +27,6 @@
 	reply     demo.Reply
 	err       error
 	call, ret time.Time
-	execution int // in the answer; 0 if there is none
 }
 
 // orderHistory collects the requests of all callers.
@@ -46,15 +45,15 @@
 	op := orderOp{key: key, call: time.Now()}
 	op.reply, op.err = caller.Do(context.Background(), h.s.order("stewards", key))
 	op.ret = time.Now()
-	if op.err == nil && op.reply.Code == jdaw.CodeOK {
-		var answer struct{ Execution int }
-		_ = json.Unmarshal([]byte(op.reply.Text), &answer) // 0 is reported by check
-		op.execution = answer.Execution
-	}
+	h.record(op)
+	return op
+}
+
+// record keeps a request that has ended.
+func (h *orderHistory) record(op orderOp) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.ops = append(h.ops, op)
-	return op
 }
 
 // later sends the order after a pause, without waiting for it.
@@ -162,8 +161,10 @@
 			}
 		case op.reply.Code == jdaw.CodeOK:
 			answered++
+			var answer struct{ Execution int }
+			_ = json.Unmarshal([]byte(op.reply.Text), &answer) // 0 contradicts the model
 			history[op.key] = append(history[op.key], porcupine.Operation{
-				Input: keyStep{answered: true, n: op.execution}, Call: op.call.UnixNano(), Return: op.ret.UnixNano(),
+				Input: keyStep{answered: true, n: answer.Execution}, Call: op.call.UnixNano(), Return: op.ret.UnixNano(),
 				ClientId: len(history[op.key]),
 			})
 		}
