--- a/config/change.go
+++ b/config/change.go
@@ -216,6 +216,11 @@
 	return nil, unknown("version", name)
 }
 
+func (d *Document) isWithdrawn(mv jdaw.ModelVersion) bool {
+	v, err := d.version(mv.String())
+	return err == nil && v.State == VersionWithdrawn
+}
+
 func (d *Document) endRollout(mv jdaw.ModelVersion) {
 	var kept []Rollout
 	for _, r := range d.Rollouts {
@@ -228,6 +233,9 @@
 
 func (d *Document) rollout(op Op, at time.Time) error {
 	mv := jdaw.ParseModelVersion(op.Name)
+	if op.Kind == OpStartRollout {
+		d.addVersion(mv)
+	}
 	v, err := d.version(op.Name)
 	if err != nil {
 		return err
@@ -235,6 +243,11 @@
 	if op.Kind == OpStartRollout {
 		return d.startRollout(mv, v, op.Share, at)
 	}
+	// The roll-out of a suspended version stays in the document, halted. To
+	// step or to finish it would give the withdrawn version new work.
+	if v.State == VersionWithdrawn && op.Kind != OpHaltRollout {
+		return jdaw.Fail(jdaw.CodeInvalidChange, "version %s is withdrawn", mv)
+	}
 	for i := range d.Rollouts {
 		r := &d.Rollouts[i]
 		if r.Model != mv.Model || r.Version != mv.Version {
@@ -254,14 +267,33 @@
 	return unknown(ObjectRollout, op.Name)
 }
 
+// addVersion adds a version that its model does not have yet.
+func (d *Document) addVersion(mv jdaw.ModelVersion) {
+	if mv.Version == "" || d.hasVersion(mv.Model, mv.Version) {
+		return
+	}
+	for i := range d.Models {
+		if d.Models[i].Name == mv.Model {
+			d.Models[i].Versions = append(d.Models[i].Versions, Version{Name: mv.Version, State: VersionRollout})
+		}
+	}
+}
+
 func (d *Document) startRollout(mv jdaw.ModelVersion, v *Version, share float64, at time.Time) error {
 	if v.State == VersionWithdrawn {
 		return jdaw.Fail(jdaw.CodeInvalidChange, "version %s is withdrawn", mv)
 	}
 	for _, r := range d.Rollouts {
-		if r.Model == mv.Model {
-			return jdaw.Fail(jdaw.CodeInvalidChange, "a roll-out of %s@%s is under way", r.Model, r.Version)
+		if r.Model != mv.Model {
+			continue
+		}
+		old := jdaw.ModelVersion{Model: r.Model, Version: r.Version}
+		if !d.isWithdrawn(old) {
+			return jdaw.Fail(jdaw.CodeInvalidChange, "a roll-out of %s is under way", old)
 		}
+		// A suspension leaves the roll-out of its version halted.
+		d.endRollout(old)
+		break
 	}
 	v.State = VersionRollout
 	d.Rollouts = append(d.Rollouts, Rollout{
--- a/demo/caller.go
+++ b/demo/caller.go
@@ -42,6 +42,9 @@
 	IdemKey string // Idempotency-Key
 	Stream  bool
 	Session string // session token
+	// NewSession is the id of a session to start; the reply has its token.
+	NewSession string
+	Task       string // kind of task, by which cascades learn
 	// Repeatable requests are sent again after a failure that may have run.
 	Repeatable bool
 }
@@ -52,6 +55,7 @@
 	Code       jdaw.Code // of a refusal; CodeOK for an answer
 	Ran        jdaw.Ran
 	RequestID  string
+	Model      string // "model@version" of the answer
 	Text       string
 	Session    string
 	FirstToken time.Duration
@@ -187,6 +191,8 @@
 	r.Header.Set("Content-Type", "application/json")
 	setHeader(r, "X-Jackdaw-Outlet", q.Outlet)
 	setHeader(r, "X-Jackdaw-Session", q.Session)
+	setHeader(r, "X-Jackdaw-New-Session", q.NewSession)
+	setHeader(r, "X-Jackdaw-Task", q.Task)
 	setHeader(r, "Idempotency-Key", q.IdemKey)
 	resp, err := c.HTTP.Do(r)
 	if err != nil {
@@ -196,6 +202,7 @@
 	reply.Status = resp.StatusCode
 	reply.Session = resp.Header.Get("X-Jackdaw-Session")
 	reply.RequestID = resp.Header.Get("X-Jackdaw-Request-Id")
+	reply.Model = resp.Header.Get("X-Jackdaw-Model")
 	if q.Stream && resp.StatusCode == http.StatusOK {
 		return readStream(resp.Body, reply, start)
 	}
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -48,7 +48,8 @@
 	claims     map[string]*claim
 	events     []jdaw.TimelineEvent
 	learned    []jdaw.StepOutcome
-	onAcquire  func(q jdaw.CreditRequest) // before a credit is granted
+	onAcquire  func(q jdaw.CreditRequest)       // before a credit is granted
+	refusal    func(q jdaw.CreditRequest) error // in place of a credit
 	useBefore  time.Duration
 	openErr    error
 	forwarded  []entry.Forwarded
@@ -77,6 +78,11 @@
 	if h.onAcquire != nil {
 		h.onAcquire(q)
 	}
+	if h.refusal != nil {
+		if err := h.refusal(q); err != nil {
+			return jdaw.Credit{}, err
+		}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, u := range h.Snapshot().Pool(q.Pool) {
@@ -446,3 +452,21 @@
 	}
 	return c.Choices[0].Message.Content
 }
+
+// await waits until the condition holds; it is called with the lock held.
+func (h *harness) await(condition func() bool) {
+	h.t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		h.mu.Lock()
+		ok := condition()
+		h.mu.Unlock()
+		if ok {
+			return
+		}
+		if time.Now().After(deadline) {
+			h.t.Fatal("the condition did not hold within 5 s")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -35,8 +35,13 @@
 	Execute func(a jdaw.Action)
 	// Record, if set, sees each event from outside before it is handled.
 	Record func(at time.Time, ev jdaw.Event)
-	Clock  jdaw.Clock
-	Tick   time.Duration
+	// RecordEmitted, if set, sees each event that a machine emitted before it
+	// is handled. A trace with them replays without that machine.
+	RecordEmitted func(at time.Time, ev jdaw.Event)
+	// RecordAction, if set, sees each action before it is carried out.
+	RecordAction func(at time.Time, a jdaw.Action)
+	Clock        jdaw.Clock
+	Tick         time.Duration
 }
 
 // Loop owns the control state of one process.
@@ -44,6 +49,7 @@
 	cfg  Config
 	wg   conc.WaitGroup
 	stop chan struct{}
+	last time.Time // of the last tick; only the loop's goroutine uses it
 
 	mu    sync.Mutex
 	queue []jdaw.Event
@@ -85,17 +91,11 @@
 func (l *Loop) run() {
 	ticker := time.NewTicker(l.cfg.Tick)
 	defer ticker.Stop()
-	last := l.cfg.Clock.Now()
+	l.last = l.cfg.Clock.Now()
 	for {
-		// The tick is handled first: after a pause of the process it must
-		// reach the machines before events that were queued meanwhile, or an
-		// owner would grant credits in the belief that no time has passed.
-		now := l.cfg.Clock.Now()
-		if gap := now.Sub(last); gap >= l.cfg.Tick {
-			last = now
-			l.handle(now, jdaw.Tick{Gap: gap})
-		}
+		l.tickIfDue()
 		for _, ev := range l.take() {
+			l.tickIfDue()
 			l.handle(l.cfg.Clock.Now(), ev)
 		}
 		select {
@@ -107,6 +107,20 @@
 	}
 }
 
+// tickIfDue sends a tick if the period has passed. It is called before each
+// event: after a pause of the process the tick must reach the machines before
+// events that were queued meanwhile, or an owner would grant credits in the
+// belief that no time has passed.
+func (l *Loop) tickIfDue() {
+	now := l.cfg.Clock.Now()
+	gap := now.Sub(l.last)
+	if gap < l.cfg.Tick {
+		return
+	}
+	l.last = now
+	l.handle(now, jdaw.Tick{Gap: gap})
+}
+
 func (l *Loop) take() []jdaw.Event {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -122,11 +136,16 @@
 		l.cfg.Record(at, ev)
 	}
 	pending := []jdaw.Event{ev}
-	for len(pending) > 0 {
-		next := pending[0]
-		pending = pending[1:]
+	for i := 0; i < len(pending); i++ {
+		next := pending[i]
+		if i > 0 && l.cfg.RecordEmitted != nil {
+			l.cfg.RecordEmitted(at, next)
+		}
 		for _, m := range l.cfg.Machines {
 			for _, a := range m.Handle(at, next) {
+				if l.cfg.RecordAction != nil {
+					l.cfg.RecordAction(at, a)
+				}
 				if inner, ok := a.(jdaw.Event); ok {
 					pending = append(pending, inner)
 				}
--- a/owner/events.go
+++ b/owner/events.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"fmt"
+	"strconv"
 	"time"
 
 	"jackdawbarrow"
@@ -139,6 +141,14 @@
 // EventName implements jdaw.Event.
 func (RevisionPullFailed) EventName() string { return "revisionPullFailed" }
 
+// CountsConfirmed says that the judge has taken the counts of a [SendCounts].
+type CountsConfirmed struct {
+	Counts []VersionCounts `json:"counts"`
+}
+
+// EventName implements jdaw.Event.
+func (CountsConfirmed) EventName() string { return "countsConfirmed" }
+
 // Grant gives a credit to the caller behind the ticket.
 type Grant struct {
 	Ticket   uint64            `json:"ticket"`
@@ -156,6 +166,14 @@
 // ActionName implements jdaw.Action.
 func (Grant) ActionName() string { return "grant" }
 
+// ActionFields returns the key fields for a log of actions.
+func (g Grant) ActionFields() map[string]string {
+	return map[string]string{
+		"ticket": strconv.FormatUint(g.Ticket, 10), "credit": g.Credit, "pool": g.Pool.String(),
+		"upstream": string(g.Upstream), "version": g.Version.String(),
+	}
+}
+
 // Refuse answers the ticket with a result code; nothing has run.
 type Refuse struct {
 	Ticket     uint64        `json:"ticket"`
@@ -206,10 +224,12 @@
 // ActionName implements jdaw.Action.
 func (RenewAnswer) ActionName() string { return "renewAnswer" }
 
-// VersionCounts are cumulative outcomes of one version in one pool.
+// VersionCounts are cumulative outcomes of one version in one pool. Counter
+// names the count: what starts at zero again has another counter.
 type VersionCounts struct {
 	Version         jdaw.ModelVersion `json:"version"`
 	Pool            jdaw.PoolID       `json:"pool"`
+	Counter         string            `json:"counter"`
 	OK              uint64            `json:"ok"`
 	Failed          uint64            `json:"failed"`
 	Rated           uint64            `json:"rated"`
@@ -217,16 +237,27 @@
 	RatingSquareSum float64           `json:"ratingSquareSum"`
 }
 
-// SendCounts sends outcome counts of a model in roll-out to its judge.
+// SendCounts sends the outcome counts of a version in roll-out and of its
+// stable version to the judge. It is answered by [CountsConfirmed].
 type SendCounts struct {
-	Judge  jdaw.VMID       `json:"judge"`
-	Addr   string          `json:"addr"`
-	Counts []VersionCounts `json:"counts"`
+	Judge    jdaw.VMID       `json:"judge"`
+	Addr     string          `json:"addr"`
+	Revision jdaw.Revision   `json:"revision"` // that the owner counts by
+	Counts   []VersionCounts `json:"counts"`
 }
 
 // ActionName implements jdaw.Action.
 func (SendCounts) ActionName() string { return "sendCounts" }
 
+// ActionFields returns the key fields for a log of actions.
+func (s SendCounts) ActionFields() map[string]string {
+	fields := map[string]string{"judge": string(s.Judge)}
+	for _, c := range s.Counts {
+		fields[c.Pool.String()+" "+c.Version.String()] = fmt.Sprintf("%d ok, %d failed, %d rated", c.OK, c.Failed, c.Rated)
+	}
+	return fields
+}
+
 // PoolStats are figures of one owned pool.
 type PoolStats struct {
 	Pool     jdaw.PoolID `json:"pool"`
--- a/owner/pool.go
+++ b/owner/pool.go
@@ -47,7 +47,8 @@
 	bucket      int
 	grantedAt   time.Time
 	renewedAt   time.Time
-	deadAt      time.Time // when the holder was declared dead; zero if alive
+	deadAt      time.Time        // when the holder was declared dead; zero if alive
+	trial       *versionOutcomes // nil if the version is not counted
 }
 
 // asked is a member whose holdings a new owner needs.
@@ -82,7 +83,8 @@
 	meanDuration float64 // nanoseconds
 	durations    int
 	stats        PoolStats
-	outcomes     outcomes
+	outcomes     *outcomes
+	trials       []trial
 }
 
 func newPool(id jdaw.PoolID, chooser route.Chooser) *pool {
@@ -131,7 +133,7 @@
 			delete(old, cfg.ID)
 			u.reconfigure(cfg)
 		} else {
-			u = newUpstream(p, cfg)
+			u = newUpstream(at, p, cfg)
 		}
 		u.pos = i
 		p.byID[cfg.ID] = u
@@ -240,7 +242,7 @@
 			c.limit += p.candidates[i].Limit
 		}
 	}
-	if !c.usable {
+	if !c.usable || p.isSpent(id) {
 		return c
 	}
 	if u := p.byID[q.Prefer]; u != nil && p.candidates[u.pos].IsFree() {
@@ -313,10 +315,16 @@
 	p.meanDuration += weight * (float64(d) - p.meanDuration)
 }
 
+// earnRetry adds to the retry budget for a granted first request. Refused ones
+// must not: a request asks several pools when credits are short, and each of
+// them would allow a part of a retry.
+func (p *pool) earnRetry() {
+	p.retryTokens = min(retryBurst, p.retryTokens+retryShare)
+}
+
 // spendRetry applies the retry budget.
 func (p *pool) spendRetry(q *AcquireRequested) bool {
 	if len(q.Exclude) == 0 {
-		p.retryTokens = min(retryBurst, p.retryTokens+retryShare)
 		return true
 	}
 	// Ten additions of 0.1 are a little less than 1.
@@ -328,6 +336,13 @@
 	return true
 }
 
+// refundRetry takes back spendRetry for a request that was refused.
+func (p *pool) refundRetry(q *AcquireRequested) {
+	if len(q.Exclude) > 0 {
+		p.retryTokens = min(retryBurst, p.retryTokens+1)
+	}
+}
+
 // snapshotStats returns the figures to publish.
 func (p *pool) snapshotStats(at time.Time) PoolStats {
 	s := p.stats
