--- a/cmd/jackdawbarrow/serve.go
+++ b/cmd/jackdawbarrow/serve.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := serve.New(ctx, serve.Config{Settings: settings, Log: log})
+	p, err := serve.New(serve.Config{Settings: settings, Log: log})
 	if err != nil {
 		return err
 	}
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -24,10 +24,10 @@
 }
 
 // StartVMs starts the entry VMs and puts them into the VM list.
-func StartVMs(ctx context.Context, s *StandIns, log *logrus.Logger) (*Cluster, error) {
+func StartVMs(s *StandIns, log *logrus.Logger) (*Cluster, error) {
 	c := &Cluster{standIns: s}
 	for i := 0; i < s.Shape.VMs; i++ {
-		p, err := serve.New(ctx, serve.Config{Settings: s.Settings(i), Log: log})
+		p, err := serve.New(serve.Config{Settings: s.Settings(i), Log: log})
 		if err != nil {
 			c.Close()
 			return nil, errors.Wrapf(err, "start VM %d", i+1)
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -50,7 +50,7 @@
 	}
 	defer standIns.Close()
 	standIns.RecordDir = cfg.RecordDir
-	cluster, err := StartVMs(ctx, standIns, cfg.Log)
+	cluster, err := StartVMs(standIns, cfg.Log)
 	if err != nil {
 		return err
 	}
--- a/demo/harness_test.go
+++ b/demo/harness_test.go
@@ -58,7 +58,7 @@
 	s.standIns.RecordDir = recordDir
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s.cluster, err = demo.StartVMs(t.Context(), s.standIns, log)
+	s.cluster, err = demo.StartVMs(s.standIns, log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -120,7 +120,7 @@
 	}
 	log := logrus.New()
 	log.SetLevel(logrus.WarnLevel)
-	p, err := serve.New(ctx, serve.Config{Settings: s, Log: log})
+	p, err := serve.New(serve.Config{Settings: s, Log: log})
 	if err != nil {
 		return err
 	}
--- a/serve/doc.go
+++ b/serve/doc.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	p, err := serve.New(ctx, serve.Config{Settings: settings, Log: log})
+//	p, err := serve.New(serve.Config{Settings: settings, Log: log})
 //	...
 //	p.Drain(ctx) // on SIGTERM: refuse new work after a while, finish the rest
 //	p.Close()
--- a/serve/listen.go
+++ b/serve/listen.go
@@ -85,7 +85,7 @@
 }
 
 // start serves the three addresses.
-func (p *Process) start(_ context.Context, l *listeners) error {
+func (p *Process) start(l *listeners) error {
 	wire.RegisterPeerServer(p.grpc, &peerServer{p: p})
 	callers, err := serverTLS(p.settings.TLS.Callers)
 	if err != nil {
--- a/serve/tls_test.go
+++ b/serve/tls_test.go
@@ -112,7 +112,7 @@
 		s.TLS = config.TLSSettings{Callers: pair, Admin: pair, Peers: pair, PeersCA: ca.file}
 		log := logrus.New()
 		log.SetLevel(logrus.ErrorLevel)
-		p, err := serve.New(ctx, serve.Config{Settings: s, Log: log})
+		p, err := serve.New(serve.Config{Settings: s, Log: log})
 		if err != nil {
 			t.Fatal(err)
 		}
