Leave the journals of a region alone that may only be cut off

Cause: regions lose each other for minutes, several times a year. Each side declared the VMs of the other dead and sealed their journals, so that every VM would have taken a new incarnation, with 44,400 reads of the key-value service at 400 VMs. Change: journals of another region are sealed 10 s after a death, and not for 15 min while that region has no live member in view; the search for orphans rests meanwhile; copies go to VMs of the own region first. Conclusion: a cut of less than 15 min seals nothing; it was not run with processes.

--- a/ledger/cluster_test.go
+++ b/ledger/cluster_test.go
@@ -36,6 +36,7 @@
 
 	mu      sync.Mutex
 	members []jdaw.Member
+	cut     bool // each region takes the others for dead
 }
 
 type vm struct {
@@ -134,7 +135,24 @@
 func (w view) View() *jdaw.View {
 	w.c.mu.Lock()
 	defer w.c.mu.Unlock()
-	return &jdaw.View{Self: w.self, Members: append([]jdaw.Member(nil), w.c.members...)}
+	v := &jdaw.View{Self: w.self, Members: append([]jdaw.Member(nil), w.c.members...)}
+	self, _ := v.Member(w.self)
+	for i := range v.Members {
+		if w.c.cut && v.Members[i].Region != self.Region {
+			v.Members[i].State = jdaw.MemberDead
+		}
+	}
+	return v
+}
+
+// setCut cuts the regions off from each other in the member tables.
+func (c *cluster) setCut(cut bool) {
+	c.mu.Lock()
+	c.cut = cut
+	c.mu.Unlock()
+	for _, v := range c.vms {
+		v.ViewChanged(view{c, v.id}.View())
+	}
 }
 
 // setState changes the member table and tells all VMs that run.
--- a/ledger/copies.go
+++ b/ledger/copies.go
@@ -116,7 +116,8 @@
 	return client.Copy(ctx, req)
 }
 
-// candidates orders the other live VMs: those that answer before those that do
+// candidates orders the other live VMs: those of the own region before others,
+// whose loss a cut would look like, those that answer before those that do
 // not, other data centres before the own one, then by rendezvous hash so that
 // a home keeps its holders. The first two are in different data centres where
 // possible.
@@ -135,6 +136,9 @@
 		if m.DataCentre == self.DataCentre {
 			r++
 		}
+		if m.Region != self.Region {
+			r += 4
+		}
 		return r
 	}
 	type ranked struct {
@@ -175,11 +179,13 @@
 	stopped bool // no sealing goroutine may start any more
 	homes   map[jdaw.Incarnation]*home
 	avoided map[jdaw.VMID]time.Time
+	lost    lostRegions
 }
 
 // home is one journal of another VM, as its holder or a possible sealer sees it.
 type home struct {
 	vm            jdaw.VMID
+	region        jdaw.Region // empty until the member table has shown it
 	entries       map[jdaw.RequestID]heldEntry
 	received      uint64 // counts the entries taken, in the order of arrival
 	durableBefore uint64
@@ -189,7 +195,7 @@
 	sealing       bool
 	sealed        bool
 	sealedAt      time.Time
-	deadAt        time.Time // first seen as dead; for homes without copies
+	deadAt        time.Time // first seen as dead
 }
 
 type heldEntry struct {
@@ -199,7 +205,7 @@
 }
 
 func newHolders() *holders {
-	return &holders{homes: map[jdaw.Incarnation]*home{}, avoided: map[jdaw.VMID]time.Time{}}
+	return &holders{homes: map[jdaw.Incarnation]*home{}, avoided: map[jdaw.VMID]time.Time{}, lost: lostRegions{}}
 }
 
 func (h *holders) avoid(vm jdaw.VMID, until time.Time) {
@@ -300,10 +306,13 @@
 	}
 	for _, m := range view.Members {
 		if m.VM != l.cfg.VM && m.State != jdaw.MemberDead && m.Incarnation != "" {
-			h.home(m.VM, m.Incarnation).seenAlive = true
+			o := h.home(m.VM, m.Incarnation)
+			o.seenAlive, o.region = true, m.Region
 		}
 	}
+	h.lost.update(view, l.snapshot(), now)
 	serving := view.Serving()
+	self, _ := view.Member(l.cfg.VM)
 	for inc, o := range h.homes {
 		if o.sealed {
 			if now.Sub(o.sealedAt) > sealedHomeTime {
@@ -311,13 +320,20 @@
 			}
 			continue
 		}
-		if o.sealing || !o.isDead(view, inc, now) {
+		if o.sealing {
+			continue
+		}
+		if !o.isDead(view, inc, now) {
+			o.deadAt = time.Time{}
+			continue
+		}
+		if o.deadAt.IsZero() {
+			o.deadAt = now
+		}
+		if o.region != self.Region && (now.Sub(o.deadAt) < otherRegionDelay || h.lost.isCutOff(o.region, now)) {
 			continue
 		}
 		if o.firstCopy.IsZero() && !l.isFirstSealer(serving, inc) {
-			if o.deadAt.IsZero() {
-				o.deadAt = now
-			}
 			if now.Sub(o.deadAt) > deadHomeTime {
 				delete(h.homes, inc)
 			}
--- a/ledger/orphans.go
+++ b/ledger/orphans.go
@@ -35,7 +35,7 @@
 	var o orphans
 	for sleep(ctx, orphanPeriod) {
 		view := l.cfg.Views.View()
-		if view == nil || view.Isolated || !l.isFirstSealer(view.Serving(), "orphans") {
+		if view == nil || view.Isolated || !l.isFirstSealer(view.Serving(), "orphans") || l.isAnyRegionCutOff() {
 			o = orphans{}
 			continue
 		}
@@ -45,6 +45,15 @@
 	}
 }
 
+// isAnyRegionCutOff keeps the search from sealing journals of VMs that this
+// side of a cut takes for dead.
+func (l *Ledger) isAnyRegionCutOff() bool {
+	h := l.holders
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lost.isAnyCutOff(l.cfg.Clock.Now())
+}
+
 func (l *Ledger) scanOrphans(ctx context.Context, o *orphans, view *jdaw.View) error {
 	names, err := l.cfg.Store.Names(ctx, JournalPrefix)
 	if err != nil {
--- /dev/null
+++ b/ledger/region.go
@@ -0,0 +1,72 @@
+package ledger
+
+import (
+	"time"
+
+	"jackdawbarrow"
+	"jackdawbarrow/config"
+)
+
+// regionCutTime is how long a region without a live member is taken for cut
+// off. Regions lose each other for minutes, several times a year; sealing
+// journals across a cut would give every VM of both regions a new incarnation
+// and cost thousands of reads at once.
+const regionCutTime = 15 * time.Minute
+
+// otherRegionDelay is longer than the time in which a cut shows: the members
+// behind it are declared dead one by one, within about three seconds.
+const otherRegionDelay = 10 * time.Second
+
+// lostRegions are the regions without a live member in the view, by the time
+// at which that was first seen.
+type lostRegions map[jdaw.Region]time.Time
+
+// update takes the regions of the member table and those of the configuration,
+// which a VM that starts during a cut knows from there alone.
+func (r lostRegions) update(view *jdaw.View, snap *config.Snapshot, now time.Time) {
+	live := map[jdaw.Region]bool{}
+	for i := range view.Members {
+		m := &view.Members[i]
+		live[m.Region] = live[m.Region] || m.VM == view.Self || m.IsServing() || m.State == jdaw.MemberDraining
+	}
+	if snap != nil {
+		for _, dc := range snap.Doc.DataCentres {
+			if _, ok := live[dc.Region]; !ok {
+				live[dc.Region] = false
+			}
+		}
+	}
+	for region, alive := range live {
+		_, lost := r[region]
+		switch {
+		case alive:
+			delete(r, region)
+		case !lost:
+			r[region] = now
+		}
+	}
+}
+
+// isCutOff reports whether the region's VMs may be alive and out of reach.
+func (r lostRegions) isCutOff(region jdaw.Region, now time.Time) bool {
+	since, lost := r[region]
+	return lost && now.Sub(since) < regionCutTime
+}
+
+// isAnyCutOff reports whether any region's VMs may be alive and out of reach.
+func (r lostRegions) isAnyCutOff(now time.Time) bool {
+	for region := range r {
+		if r.isCutOff(region, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// snapshot returns the configuration, nil if there is none yet.
+func (l *Ledger) snapshot() *config.Snapshot {
+	if l.cfg.Config == nil {
+		return nil
+	}
+	return l.cfg.Config.Snapshot()
+}
