Split the largest files by duty

Change: requests for credits, ends of credits, member updates and streams have files of their own; no line of code is changed.

--- /dev/null
+++ b/owner/release.go
@@ -0,0 +1,122 @@
+package owner
+
+import (
+	"time"
+
+	"jackdawbarrow"
+)
+
+func (m *Machine) release(at time.Time, ev CreditsReleased) {
+	var touched []*pool
+	for _, r := range ev.Releases {
+		// The credit may be unknown: released twice after a lost answer, or
+		// freed already. Its outcome was counted then or is given up.
+		c := m.credits[r.Credit]
+		if c == nil {
+			continue
+		}
+		p := c.u.pool
+		m.free(at, c)
+		m.ended.add(c.id)
+		if r.Outcome == jdaw.OutcomeOK {
+			p.learnDuration(at.Sub(c.grantedAt))
+		}
+		wasLeaving := c.u.isLeaving()
+		c.u.end(at, c, r, m.inTime(r.Version))
+		p.outcomes.count(r)
+		if c.u.isLeaving() != wasLeaving {
+			p.refresh(m.snap, m.leaving)
+		}
+		if len(touched) == 0 || touched[len(touched)-1] != p {
+			touched = append(touched, p)
+		}
+	}
+	for _, p := range touched {
+		m.dispatch(at, p)
+	}
+}
+
+// inTime returns the longest first-token time that counts as a success.
+func (m *Machine) inTime(v jdaw.ModelVersion) time.Duration {
+	if model, ok := m.snap.Model(v.Model); ok && model.FirstTokenMillis > 0 {
+		return time.Duration(model.FirstTokenMillis) * time.Millisecond
+	}
+	return defaultInTime
+}
+
+func (m *Machine) free(at time.Time, c *credit) {
+	m.forget(c)
+	c.u.remove(at, c)
+}
+
+// forget removes a credit from all that the upstream does not keep itself.
+func (m *Machine) forget(c *credit) {
+	delete(m.credits, c.id)
+	if c.trial != nil {
+		c.trial.running--
+	}
+}
+
+// endedCredits remembers the credits released last, so that a renewal that
+// was sent before the release does not bring them back.
+type endedCredits struct {
+	ids  map[string]bool
+	ring [maxEnded]string
+	next int
+}
+
+func (e *endedCredits) add(id string) {
+	delete(e.ids, e.ring[e.next])
+	e.ring[e.next] = id
+	e.ids[id] = true
+	e.next = (e.next + 1) % maxEnded
+}
+
+// renew notes which credits a VM still holds. Credits that it does not list
+// were released by a message that was lost.
+func (m *Machine) renew(at time.Time, ev CreditsRenewed) {
+	answer := RenewAnswer{Ticket: ev.Ticket}
+	var complete []*pool
+	for _, h := range ev.Held {
+		p := m.pools[h.Pool]
+		if h.Credit == "" {
+			if p != nil {
+				complete = append(complete, p)
+			}
+			continue
+		}
+		if p == nil {
+			answer.Unknown = append(answer.Unknown, h.Credit)
+			continue
+		}
+		c := m.credits[h.Credit]
+		if c == nil {
+			m.adopt(at, p, h, ev.From, ev.Incarnation)
+			continue
+		}
+		c.renewedAt = at
+		// After its journal was sealed, the same process goes on under
+		// another incarnation.
+		c.incarnation = ev.Incarnation
+		m.markHolder(at, c)
+	}
+	for _, p := range complete {
+		m.freeUnlisted(at, p, ev)
+		m.dispatch(at, p)
+	}
+	m.emit(answer)
+}
+
+func (m *Machine) freeUnlisted(at time.Time, p *pool, ev CreditsRenewed) {
+	for _, u := range p.ups {
+		for i := len(u.credits) - 1; i >= 0; i-- {
+			c := u.credits[i]
+			isListed := c.renewedAt.Equal(at)
+			isOther := c.vm != ev.From || c.incarnation != ev.Incarnation
+			if isOther || isListed || at.Sub(c.grantedAt) < renewGrace {
+				continue
+			}
+			m.free(at, c)
+		}
+	}
+}
