--- a/proof/notrun_test.go
+++ b/proof/notrun_test.go
@@ -407,7 +407,8 @@
 	}
 	hurry := s.chat("scoring", s.opts.shape.Models[0].Name, "x")
 	hurry.Outlet = "hurry"
-	for range n {
+	rounds := 0
+	s.within(time.Minute, "deadlines pass and capacity ends", func() bool {
 		var wg sync.WaitGroup
 		for _, v := range s.vms {
 			for range 10 {
@@ -415,7 +416,9 @@
 			}
 		}
 		wg.Wait()
-	}
+		rounds++
+		return rounds >= n && book.codes[jdaw.CodeDeadline] >= n && book.codes[jdaw.CodeNoCapacity] >= n
+	})
 	s.healUpstreams()
 }
 
