Show every unknown field of a file in one run

Cause: the strict decoding of the YAML library stops at the first unknown field and hid the faults of the checks. Change: keys are compared with the fields of the types after decoding; unknown fields and faults of values are shown together. Conclusion: 'check' names all faults of a file that can be decoded; a value of the wrong type still ends the run, with its line.

--- a/config/check.go
+++ b/config/check.go
@@ -26,12 +26,13 @@
 // messages only.
 func ParseDocument(file string, b []byte) (Document, Faults) {
 	var d Document
-	if faults := DecodeStrict(file, b, &d); len(faults) > 0 {
+	faults, ok := decode(file, b, &d)
+	if !ok {
 		return Document{}, faults
 	}
 	c := newChecker(file, b)
 	d.check(c)
-	return d, c.faults
+	return d, append(faults, c.faults...)
 }
 
 // Check returns every fault of the document.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -23,6 +23,11 @@
 	tests := map[string]struct{ text, want string }{
 		"good":          {goodSettings, ""},
 		"unknown field": {goodSettings + "colour: red\n", `s.yaml:7: unknown field "colour"`},
+		"all unknown fields and a wrong value": {
+			goodSettings + "colour: red\nlog: {level: loud, size: 3}\n",
+			"s.yaml:7: unknown field \"colour\"\ns.yaml:8: unknown field \"size\"\ns.yaml:8: log.level: must be one of debug, info, warn, error, not loud",
+		},
+		"wrong type": {goodSettings + "seeds: 3\n", "s.yaml:7: int was used where sequence is expected"},
 		"host name": {
 			goodSettings + "ratings: http://ratings.example\n",
 			"s.yaml:7: ratings: must name an IP number and no host name, not ratings.example",
--- a/config/settings.go
+++ b/config/settings.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"fmt"
 	"net"
 	"net/netip"
 	"net/url"
@@ -96,13 +95,14 @@
 // ParseSettings reads and checks settings in YAML; file is for messages only.
 func ParseSettings(file string, b []byte) (Settings, Faults) {
 	var s Settings
-	if faults := DecodeStrict(file, b, &s); len(faults) > 0 {
+	faults, ok := decode(file, b, &s)
+	if !ok {
 		return Settings{}, faults
 	}
 	s = s.WithDefaults()
 	c := newChecker(file, b)
 	s.check(c)
-	return s, c.faults
+	return s, append(faults, c.faults...)
 }
 
 // WithDefaults returns the settings with empty fields filled in.
@@ -171,30 +171,6 @@
 	}
 }
 
-// DecodeStrict decodes YAML and rejects unknown fields.
-func DecodeStrict(file string, b []byte, into any) (faults Faults) {
-	// The YAML library panics on some malformed documents, such as
-	// a tag without a name before a number; for the user that is a fault of the file.
-	defer func() {
-		if r := recover(); r != nil {
-			faults = Faults{{File: file, Message: fmt.Sprintf("not valid YAML: %v", r)}}
-		}
-	}()
-	err := yaml.UnmarshalWithOptions(b, into, yaml.Strict())
-	if err == nil {
-		return nil
-	}
-	var positioned yaml.Error
-	if errors.As(err, &positioned) {
-		line := 0
-		if t := positioned.GetToken(); t != nil && t.Position != nil {
-			line = t.Position.Line
-		}
-		return Faults{{File: file, Line: line, Message: positioned.GetMessage()}}
-	}
-	return Faults{{File: file, Message: err.Error()}}
-}
-
 // checker collects faults with the lines of their fields.
 type checker struct {
 	file   string
