--- a/config/settings.go
+++ b/config/settings.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 
 	"jackdawbarrow"
@@ -174,12 +175,19 @@
 // checker collects faults with the lines of their fields.
 type checker struct {
 	file   string
-	source []byte
+	tree   *ast.File // nil if the values come from no file
 	faults Faults
 }
 
 func newChecker(file string, source []byte) *checker {
-	return &checker{file: file, source: source}
+	c := &checker{file: file}
+	if len(source) == 0 {
+		return c
+	}
+	if tree, err := parser.ParseBytes(source, 0); err == nil {
+		c.tree = tree
+	}
+	return c
 }
 
 // fault records a fault at a YAML path. A field that is absent has the line
@@ -194,11 +202,7 @@
 }
 
 func (c *checker) line(path string) int {
-	if len(c.source) == 0 {
-		return 0
-	}
-	tree, err := parser.ParseBytes(c.source, 0)
-	if err != nil {
+	if c.tree == nil {
 		return 0
 	}
 	for path != "$" && path != "" {
@@ -206,7 +210,7 @@
 		if err != nil {
 			return 0
 		}
-		node, err := p.FilterFile(tree)
+		node, err := p.FilterFile(c.tree)
 		if err == nil && node != nil && node.GetToken() != nil {
 			return node.GetToken().Position.Line
 		}
