Share the outcomes of requests between VMs, and leave suspects out

Besides, a 500 for a request that must not be repeated counted as a good answer.

Ruled out: more repeats (registrations must not be repeated); a lower number of failures in a row (some services fail one in seven requests when well).

Change: the backlogs that VMs exchange through hubs carry requests that ended and that failed lately. The hub of each data centre compares the upstreams of a service and version and names suspects: failures beyond those of the others by three standard deviations and two requests, at most a third of a group. Suspects get requests as a last resort. Replies to VMs carry the suspects alone.

--- a/loads/board.go
+++ b/loads/board.go
@@ -16,6 +16,13 @@
 	at      time.Time
 }
 
+// report is what a VM knows of others.
+type report struct {
+	others   jdaw.Backlog
+	suspects map[jdaw.UpstreamKey]bool
+	at       time.Time
+}
+
 // board is what a VM knows of others' backlogs as the hub of its data centre.
 type board struct {
 	vms     map[jdaw.VMID]entry       // of this data centre
@@ -75,7 +82,7 @@
 }
 
 func add(total, backlog jdaw.Backlog) {
-	for key, work := range backlog {
-		total[key] += work
+	for key, load := range backlog {
+		total[key] = total[key].With(load)
 	}
 }
--- a/loads/node.go
+++ b/loads/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,13 +44,14 @@
 	wire.UnimplementedLoadsServer
 	cfg    Config
 	conns  *peers.Connections
-	others atomic.Pointer[entry]
+	known  atomic.Pointer[report]
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     conc.WaitGroup
 
-	mu    sync.Mutex
-	board *board
+	mu       sync.Mutex
+	board    *board
+	suspects map[jdaw.UpstreamKey]bool // as the hub of a data centre
 	// avoided are hubs that failed, until when. Only the exchange uses it.
 	avoided map[jdaw.VMID]time.Time
 }
@@ -78,11 +80,25 @@
 
 // Others returns the work of all other VMs, or nil if nothing recent is known.
 func (n *Node) Others() jdaw.Backlog {
-	e := n.others.Load()
-	if e == nil || time.Since(e.at) > maxAge {
+	if r := n.recent(); r != nil {
+		return r.others
+	}
+	return nil
+}
+
+// IsSuspect reports whether an upstream fails more requests than others, by the
+// counts of all VMs.
+func (n *Node) IsSuspect(key jdaw.UpstreamKey) bool {
+	r := n.recent()
+	return r != nil && r.suspects[key]
+}
+
+func (n *Node) recent() *report {
+	r := n.known.Load()
+	if r == nil || time.Since(r.at) > maxAge {
 		return nil
 	}
-	return e.backlog
+	return r
 }
 
 // exchange sends this VM's backlog once and returns the time to the next one.
@@ -97,10 +113,12 @@
 	switch {
 	case !ok:
 	case hub.VM == n.cfg.Self.VM:
-		n.exchangeAsHub(hubs)
+		n.exchangeAsHub(st, hubs)
 	default:
-		if backlog, ok := n.call(hub, n.cfg.Own()); ok {
-			n.others.Store(&entry{backlog: backlog, at: time.Now()})
+		if reply := n.call(hub, n.cfg.Own()); reply != nil {
+			n.known.Store(&report{
+				others: decode(reply.GetOthers()), suspects: decodeSuspects(reply.GetSuspects()), at: time.Now(),
+			})
 		}
 	}
 	return periodOf(vms[n.cfg.Self.DataCentre])
@@ -128,8 +146,9 @@
 }
 
 // exchangeAsHub exchanges the sum of the data centre with those behind it in
-// the order of names; the others call this one.
-func (n *Node) exchangeAsHub(hubs map[jdaw.DataCentre]fleet.Member) {
+// the order of names; the others call this one. It judges the upstreams for all
+// VMs of the data centre.
+func (n *Node) exchangeAsHub(st *fleet.State, hubs map[jdaw.DataCentre]fleet.Member) {
 	own := n.cfg.Own()
 	n.mu.Lock()
 	sum := n.board.own(time.Now(), own)
@@ -138,20 +157,44 @@
 		if dc <= n.cfg.Self.DataCentre {
 			continue
 		}
-		if backlog, ok := n.call(hub, sum); ok {
+		if reply := n.call(hub, sum); reply != nil {
 			n.mu.Lock()
-			n.board.centreSeen(time.Now(), dc, backlog)
+			n.board.centreSeen(time.Now(), dc, decode(reply.GetOthers()))
 			n.mu.Unlock()
 		}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	n.others.Store(&entry{backlog: n.board.others(now), at: now})
+	others := n.board.others(now)
+	total := maps.Clone(others)
+	add(total, own)
+	found := suspects(st, total)
+	n.logSuspects(st, found, total)
+	n.suspects = found
+	n.known.Store(&report{others: others, suspects: found, at: now})
+}
+
+// logSuspects logs the upstreams that became suspects and those that no longer
+// are. Suspects are never changed once they are in use.
+func (n *Node) logSuspects(st *fleet.State, found map[jdaw.UpstreamKey]bool, total jdaw.Backlog) {
+	for service, list := range st.Upstreams {
+		for i := range list {
+			key := list[i].ID.Key()
+			if found[key] == n.suspects[key] {
+				continue
+			}
+			load := total[key]
+			n.cfg.Log.WithFields(logrus.Fields{
+				"upstream": list[i].ID, "service": service, "version": list[i].Version, "isSuspect": found[key],
+				"ended": load.Ended / jdaw.OutcomeUnit, "failed": load.Failed / jdaw.OutcomeUnit,
+			}).Info("upstream judged")
+		}
+	}
 }
 
-// call sends a backlog to a hub and returns its reply.
-func (n *Node) call(hub fleet.Member, backlog jdaw.Backlog) (jdaw.Backlog, bool) {
+// call sends a backlog to a hub and returns its reply, or nil if there is none.
+func (n *Node) call(hub fleet.Member, backlog jdaw.Backlog) *wire.ExchangeBacklogReply {
 	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
 	defer cancel()
 	conn, err := n.conns.Conn(hub.Peers, time.Now())
@@ -166,9 +209,9 @@
 			n.avoided[hub.VM] = time.Now().Add(avoidHub)
 			n.cfg.Log.WithError(err).WithField("hub", hub.VM).Info("hub does not answer; another one is asked")
 		}
-		return nil, false
+		return nil
 	}
-	return decode(reply.GetOthers()), true
+	return reply
 }
 
 // ExchangeBacklog implements [wire.LoadsServer].
@@ -184,24 +227,64 @@
 		n.board.centreSeen(now, dc, backlog)
 		return &wire.ExchangeBacklogReply{Others: encode(n.board.own(now, own))}, nil
 	}
-	return &wire.ExchangeBacklogReply{Others: encode(n.board.vmSeen(now, jdaw.VMID(q.GetVm()), backlog, own))}, nil
+	reply := &wire.ExchangeBacklogReply{Others: encodeTokens(n.board.vmSeen(now, jdaw.VMID(q.GetVm()), backlog, own))}
+	for key := range n.suspects {
+		reply.Suspects = append(reply.Suspects, uint32(key))
+	}
+	return reply, nil
 }
 
+// encode returns all that a hub needs.
 func encode(b jdaw.Backlog) *wire.Backlog {
-	w := &wire.Backlog{Upstreams: make([]uint32, 0, len(b)), Tokens: make([]uint32, 0, len(b))}
-	for key, work := range b {
+	w := &wire.Backlog{
+		Upstreams: make([]uint32, 0, len(b)), Tokens: make([]uint32, 0, len(b)),
+		Ended: make([]uint32, 0, len(b)), Failed: make([]uint32, 0, len(b)),
+	}
+	for key, load := range b {
 		w.Upstreams = append(w.Upstreams, uint32(key))
-		w.Tokens = append(w.Tokens, work)
+		w.Tokens = append(w.Tokens, load.Tokens)
+		w.Ended = append(w.Ended, load.Ended)
+		w.Failed = append(w.Failed, load.Failed)
+	}
+	return w
+}
+
+// encodeTokens returns what other VMs need: the work, of upstreams that have
+// any. Hubs judge by the outcomes, and a message to each VM would be a third
+// longer with them.
+func encodeTokens(b jdaw.Backlog) *wire.Backlog {
+	w := &wire.Backlog{Upstreams: make([]uint32, 0, len(b)), Tokens: make([]uint32, 0, len(b))}
+	for key, load := range b {
+		if load.Tokens > 0 {
+			w.Upstreams = append(w.Upstreams, uint32(key))
+			w.Tokens = append(w.Tokens, load.Tokens)
+		}
 	}
 	return w
 }
 
+// decode reads a backlog. Lists that are shorter than that of the upstreams
+// state nothing of the rest.
 func decode(w *wire.Backlog) jdaw.Backlog {
+	at := func(list []uint32, i int) uint32 {
+		if i < len(list) {
+			return list[i]
+		}
+		return 0
+	}
 	b := make(jdaw.Backlog, len(w.GetUpstreams()))
 	for i, key := range w.GetUpstreams() {
-		if i < len(w.GetTokens()) {
-			b[jdaw.UpstreamKey(key)] = w.GetTokens()[i]
+		b[jdaw.UpstreamKey(key)] = jdaw.UpstreamLoad{
+			Tokens: at(w.GetTokens(), i), Ended: at(w.GetEnded(), i), Failed: at(w.GetFailed(), i),
 		}
 	}
 	return b
 }
+
+func decodeSuspects(keys []uint32) map[jdaw.UpstreamKey]bool {
+	found := make(map[jdaw.UpstreamKey]bool, len(keys))
+	for _, key := range keys {
+		found[jdaw.UpstreamKey(key)] = true
+	}
+	return found
+}
--- a/owner/release.go
+++ b/owner/release.go
@@ -120,6 +120,7 @@
 			if isOther || isListed || at.Sub(c.grantedAt) < renewGrace {
 				continue
 			}
+			u.reserveUnknown(at)
 			m.free(at, c)
 		}
 	}
--- a/owner/upstream.go
+++ b/owner/upstream.go
@@ -400,12 +400,23 @@
 		u.foreignSeen = at
 		return atMost
 	}
-	if at.Sub(u.foreignSeen) > foreignHold {
+	if !u.mayHaveForeign(at) {
 		return 0
 	}
 	return min(u.foreign, atMost)
 }
 
+func (u *upstream) mayHaveForeign(at time.Time) bool { return at.Sub(u.foreignSeen) <= foreignHold }
+
+// reserveUnknown keeps the place of a credit whose end nobody has reported until
+// the next load report. It may have ended before the last one, which then showed
+// foreign work in its place.
+func (u *upstream) reserveUnknown(at time.Time) {
+	if u.mayHaveForeign(at) {
+		u.foreign++
+	}
+}
+
 func (u *upstream) isNewIncarnation(inc string) bool {
 	return inc != "" && u.incarnation != "" && inc != u.incarnation
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -203,11 +203,11 @@
 	case !a.info.IsSigned || a.info.IsEncoded:
 		c.attempts++
 		return c.broken(a, "the answer is not the upstream's own"), true
-	case a.answer.Status >= http.StatusInternalServerError && c.route.IsRepeatable():
+	case a.answer.Status >= http.StatusInternalServerError:
 		c.attempts++
 		c.mayHaveRun = true
 		c.exclude = append(c.exclude, a.place.ID)
-		return verdict{outcome: outcomeFailed, mayRetry: true, err: nil}, true
+		return verdict{outcome: outcomeFailed, mayRetry: c.route.IsRepeatable()}, c.route.IsRepeatable()
 	}
 	c.attempts++
 	c.mayHaveRun = true
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -70,6 +70,7 @@
 	replaced  time.Time   // end of the time without any requests
 	ejectTime time.Duration
 	failures  int // in a row
+	recent    recentOutcomes
 	born      int64
 	// quota is this VM's part of the cold rate by the members of quotaOf.
 	quota   int
@@ -83,6 +84,9 @@
 type Backlogs interface {
 	// Others returns the work of all other VMs, as far as it is known.
 	Others() jdaw.Backlog
+	// IsSuspect reports whether an upstream fails more requests than others, by
+	// the counts of all VMs.
+	IsSuspect(key jdaw.UpstreamKey) bool
 }
 
 // placer chooses upstreams. It is safe for concurrent use.
@@ -183,7 +187,7 @@
 			continue
 		}
 		s := p.stateOf(u)
-		if at.Before(s.replaced) || strict && at.Before(s.ejected) {
+		if at.Before(s.replaced) || strict && (at.Before(s.ejected) || p.isSuspect(s.key)) {
 			continue
 		}
 		if p.isCold(at, u, s) && !p.mayUseCold(at, st, spec, u, s) {
@@ -197,7 +201,7 @@
 		p.places = append(p.places, u)
 		p.candidates = append(p.candidates, route.Candidate{
 			Hash: hash, InUse: s.inUse, Limit: max(u.Slots, 1) * queueFactor, Usable: true,
-			Work: s.work() + float64(others[s.key]) + q.work.own + rereadFactor*q.work.shared,
+			Work: s.work() + float64(others[s.key].Tokens) + q.work.own + rereadFactor*q.work.shared,
 		})
 	}
 	if home := route.Home(q.prefix, p.candidates); home >= 0 {
@@ -205,6 +209,10 @@
 	}
 }
 
+func (p *placer) isSuspect(key jdaw.UpstreamKey) bool {
+	return p.backlogs != nil && p.backlogs.IsSuspect(key)
+}
+
 func contains(list []jdaw.UpstreamID, id jdaw.UpstreamID) bool {
 	for _, x := range list {
 		if x == id {
@@ -278,14 +286,17 @@
 	pl.waiting = 0
 }
 
-// backlog returns this VM's work at all upstreams.
-func (p *placer) backlog() jdaw.Backlog {
+// backlog returns this VM's work at all upstreams, and what became of its
+// requests there.
+func (p *placer) backlog(at time.Time) jdaw.Backlog {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := jdaw.Backlog{}
 	for _, s := range p.upstreams {
-		if work := uint32(s.work()); work > 0 {
-			b[s.key] = work
+		load := jdaw.UpstreamLoad{Tokens: uint32(s.work())}
+		load.Ended, load.Failed = s.recent.counts(at)
+		if load != (jdaw.UpstreamLoad{}) {
+			b[s.key] = load
 		}
 	}
 	return b
@@ -302,6 +313,7 @@
 		return
 	}
 	s.inUse = max(s.inUse-1, 0)
+	s.recent.add(at, o)
 	switch o {
 	case outcomeOK:
 		s.failures = 0
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -68,8 +68,8 @@
 // Forget drops what was remembered of upstreams that are gone.
 func (x *Relay) Forget(st *fleet.State) { x.placer.forget(st) }
 
-// Backlog returns the work of this VM's requests at upstreams.
-func (x *Relay) Backlog() jdaw.Backlog { return x.placer.backlog() }
+// Backlog returns the work of this VM's requests at upstreams, and how they ended.
+func (x *Relay) Backlog() jdaw.Backlog { return x.placer.backlog(time.Now()) }
 
 // call is one request of a caller on its way.
 type call struct {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -69,7 +69,7 @@
 			}
 		}
 		if !ended {
-			return c.passWhole(a)
+			return c.passWhole(a, v.outcome)
 		}
 		if a != nil {
 			c.count(a, v)
@@ -90,13 +90,13 @@
 }
 
 // passWhole passes on an answer that is no stream.
-func (c *call) passWhole(a *attempt) error {
+func (c *call) passWhole(a *attempt, o outcome) error {
 	body, err := readWhole(a.answer)
 	if err != nil {
 		a.end(outcomeFailed)
 		return jdaw.Fail(jdaw.CodeOutcomeUnknown, "the answer was cut: %s", err)
 	}
-	a.end(outcomeNeutral)
+	a.end(o)
 	return c.writePlain(a.answer, body)
 }
 
