--- a/relay/placer.go
+++ b/relay/placer.go
@@ -131,6 +131,8 @@
 	// upstream before this one, and the upstreams that could take it.
 	inUse      int
 	candidates int
+	work       float64 // at the upstream with the request itself, in tokens
+	isHome     bool    // the upstream most likely has the shared parts
 	waiting    float64 // its part of the upstream's waiting work
 }
 
@@ -147,8 +149,11 @@
 		}
 		u := p.places[i]
 		s := p.stateOf(u)
-		pl := place{Upstream: *u, p: p, inUse: s.inUse, candidates: len(p.candidates), waiting: q.work.own}
-		if i != route.Home(q.prefix, p.candidates) {
+		pl := place{
+			Upstream: *u, p: p, inUse: s.inUse, candidates: len(p.candidates), work: p.candidates[i].Work,
+			isHome: i == route.Home(q.prefix, p.candidates), waiting: q.work.own,
+		}
+		if !pl.isHome {
 			pl.waiting += q.work.shared
 		}
 		s.inUse++
