Ask a larger model by what waits at its upstream, and order its work apart

First steps left the upstream with their shared parts for work of later steps, behind which they do not wait: 30 % of them were read at their home.

Change: backlogs tell the part of later steps. A first step counts a fifth of it. A larger model is asked if the work before the prompt takes at most 0.9 of the time left to the target, at the rate that first events of later steps have shown. Among later steps, prompts that take a quarter of the target to read go first. The mean of first events is gone; attempts given up keep their bound.

--- a/backlog.go
+++ b/backlog.go
@@ -10,6 +10,9 @@
 type UpstreamLoad struct {
 	// Tokens is the work that waits, in prompt tokens of the largest model.
 	Tokens uint32
+	// Later is the part of Tokens that is of later steps of cascades, behind
+	// which first steps do not wait.
+	Later uint32
 	// Ended is the number of requests that ended lately, and Failed that of
 	// those which failed, in parts of OutcomeUnit.
 	Ended  uint32
@@ -23,7 +26,8 @@
 // With returns the sum of two loads.
 func (l UpstreamLoad) With(other UpstreamLoad) UpstreamLoad {
 	return UpstreamLoad{
-		Tokens: l.Tokens + other.Tokens, Ended: l.Ended + other.Ended, Failed: l.Failed + other.Failed,
+		Tokens: l.Tokens + other.Tokens, Later: l.Later + other.Later,
+		Ended: l.Ended + other.Ended, Failed: l.Failed + other.Failed,
 	}
 }
 
--- a/loads/board_test.go
+++ b/loads/board_test.go
@@ -55,7 +55,7 @@
 func TestBacklogOnTheWire(t *testing.T) {
 	for name, b := range map[string]jdaw.Backlog{
 		"none":    {},
-		"several": {1: {Tokens: 10}, 1 << 31: {Tokens: 20, Ended: 3}, 7: {Tokens: 1 << 30, Ended: 5, Failed: 4}},
+		"several": {1: {Tokens: 10}, 1 << 31: {Tokens: 20, Later: 15, Ended: 3}, 7: {Tokens: 1 << 30, Ended: 5, Failed: 4}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got := decode(encode(b)); !maps.Equal(got, b) {
--- a/loads/node.go
+++ b/loads/node.go
@@ -238,11 +238,12 @@
 func encode(b jdaw.Backlog) *wire.Backlog {
 	w := &wire.Backlog{
 		Upstreams: make([]uint32, 0, len(b)), Tokens: make([]uint32, 0, len(b)),
-		Ended: make([]uint32, 0, len(b)), Failed: make([]uint32, 0, len(b)),
+		Later: make([]uint32, 0, len(b)), Ended: make([]uint32, 0, len(b)), Failed: make([]uint32, 0, len(b)),
 	}
 	for key, load := range b {
 		w.Upstreams = append(w.Upstreams, uint32(key))
 		w.Tokens = append(w.Tokens, load.Tokens)
+		w.Later = append(w.Later, load.Later)
 		w.Ended = append(w.Ended, load.Ended)
 		w.Failed = append(w.Failed, load.Failed)
 	}
@@ -253,11 +254,14 @@
 // any. Hubs judge by the outcomes, and a message to each VM would be a third
 // longer with them.
 func encodeTokens(b jdaw.Backlog) *wire.Backlog {
-	w := &wire.Backlog{Upstreams: make([]uint32, 0, len(b)), Tokens: make([]uint32, 0, len(b))}
+	w := &wire.Backlog{
+		Upstreams: make([]uint32, 0, len(b)), Tokens: make([]uint32, 0, len(b)), Later: make([]uint32, 0, len(b)),
+	}
 	for key, load := range b {
 		if load.Tokens > 0 {
 			w.Upstreams = append(w.Upstreams, uint32(key))
 			w.Tokens = append(w.Tokens, load.Tokens)
+			w.Later = append(w.Later, load.Later)
 		}
 	}
 	return w
@@ -275,7 +279,8 @@
 	b := make(jdaw.Backlog, len(w.GetUpstreams()))
 	for i, key := range w.GetUpstreams() {
 		b[jdaw.UpstreamKey(key)] = jdaw.UpstreamLoad{
-			Tokens: at(w.GetTokens(), i), Ended: at(w.GetEnded(), i), Failed: at(w.GetFailed(), i),
+			Tokens: at(w.GetTokens(), i), Later: at(w.GetLater(), i),
+			Ended: at(w.GetEnded(), i), Failed: at(w.GetFailed(), i),
 		}
 	}
 	return b
--- a/owner/upstream.go
+++ b/owner/upstream.go
@@ -102,8 +102,8 @@
 	// foreignSeen is the arrival of the last report that certainly showed
 	// foreign work.
 	foreignSeen time.Time
-	history    [historySize]ownCount
-	changes    int // number of entries ever written to history
+	history     [historySize]ownCount
+	changes     int // number of entries ever written to history
 
 	incarnation string
 	// past are the incarnations before, whose late news must not count as
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -104,7 +104,8 @@
 func (c *call) next(model, resumeAfter string, limit time.Duration) (*attempt, error) {
 	st := c.x.cfg.Fleet.State()
 	at := time.Now()
-	q := placeRequest{service: c.service, draw: c.draw, prefix: c.prefix, salt: rand.Uint64(), exclude: c.exclude, work: c.work(st, model)}
+	q := c.placeRequest(st, model, c.streaming != nil && c.streaming.isEscalated())
+	q.exclude = c.exclude
 	pl, ok := c.x.placer.choose(at, st, q)
 	if !ok && len(c.exclude) > 0 && c.mayRepeatAt() {
 		q.exclude = c.dead
@@ -119,7 +120,7 @@
 	h := cloneHeader(c.r.Header)
 	c.x.cfg.Protocol.WriteAttempt(h, jdaw.Attempt{
 		Upstream: pl.ID, Workspace: c.workspace, Deadline: min(limit, c.left()),
-		ResumeAfter: resumeAfter, Model: model, Urgency: c.urgency(),
+		ResumeAfter: resumeAfter, Model: model, Urgency: c.urgency(pl.queue),
 	})
 	req := dial.Request{
 		Address: pl.Address, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
@@ -144,6 +145,18 @@
 	return a, nil
 }
 
+// placeRequest asks for an upstream for a model; without one it is the caller's.
+// isLater says that it is that of a later step of a cascade.
+func (c *call) placeRequest(st *fleet.State, model string, isLater bool) placeRequest {
+	if model == "" {
+		model = c.info.Model
+	}
+	return placeRequest{
+		service: c.service, draw: c.draw, prefix: promptPrefix(c.info.Prompt, model), salt: rand.Uint64(),
+		work: c.work(st, model), isLater: isLater,
+	}
+}
+
 // work returns what the request costs an upstream before its first event. The
 // costs of the models stand for the time that they take.
 func (c *call) work(st *fleet.State, model string) promptWork {
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -40,8 +40,14 @@
 	// rereadFactor times the shared parts of a prompt count against upstreams
 	// other than its home: they are read there anew, take the room of others in
 	// its cache, and what other VMs have waiting there is known late. With 1, the
-	// users' large deployments read shared parts twice as often.
-	rereadFactor = 3
+	// users' large deployments read shared parts twice as often. First steps of
+	// cascades do not wait for later ones and can be truer to their home.
+	rereadFactor      = 3
+	firstRereadFactor = 4
+	// laterShare is the part of the waiting work of later steps that counts for
+	// first ones: they are admitted before it, and wait for the chunk of a prompt
+	// that is being read.
+	laterShare = 0.2
 	// runningTokens is the work that a request adds to an upstream while it runs:
 	// its tokens are made between the prompts of others.
 	runningTokens = 150
@@ -64,6 +70,7 @@
 	key       jdaw.UpstreamKey
 	inUse     int
 	waiting   float64     // work of this VM's requests without a first event, in tokens
+	later     float64     // the part of waiting that is of later steps of cascades
 	coldSent  []time.Time // within coldWindow
 	suspect   time.Time   // end of the suspicion of a restart
 	ejected   time.Time   // end of the time without requests, but as a last resort
@@ -80,6 +87,23 @@
 // work is the work of this VM that is left at the upstream.
 func (s *upstreamState) work() float64 { return s.waiting + runningTokens*float64(s.inUse) }
 
+// ahead is the work of all VMs before which a request would not be read.
+func (s *upstreamState) ahead(others jdaw.UpstreamLoad, isLater bool) float64 {
+	work := s.work() + float64(others.Tokens)
+	if !isLater {
+		work -= (1 - laterShare) * (s.later + float64(others.Later))
+	}
+	return work
+}
+
+// wait adds the waiting work of a place, or takes it away with a sign of -1.
+func (s *upstreamState) wait(pl *place, sign float64) {
+	s.waiting = max(s.waiting+sign*pl.waiting, 0)
+	if pl.isLater {
+		s.later = max(s.later+sign*pl.waiting, 0)
+	}
+}
+
 // Backlogs gives what other VMs have waiting at upstreams.
 type Backlogs interface {
 	// Others returns the work of all other VMs, as far as it is known.
@@ -114,6 +138,15 @@
 	salt    uint64     // decides between equal upstreams if there is no prefix
 	exclude []jdaw.UpstreamID
 	work    promptWork
+	isLater bool // a later step of a cascade
+}
+
+// rereadWork counts against upstreams that have not cached the shared parts.
+func (q *placeRequest) rereadWork() float64 {
+	if q.isLater {
+		return rereadFactor * q.work.shared
+	}
+	return firstRereadFactor * q.work.shared
 }
 
 // promptWork is what a request costs an upstream before its first event, in
@@ -131,11 +164,18 @@
 	// upstream before this one, and the upstreams that could take it.
 	inUse      int
 	candidates int
-	work       float64 // at the upstream with the request itself, in tokens
-	isHome     bool    // the upstream most likely has the shared parts
+	queue      queue
+	isLater    bool
 	waiting    float64 // its part of the upstream's waiting work
 }
 
+// queue is the work, in tokens, before a request gets its first event.
+type queue struct {
+	ahead  float64 // that waits at the upstream
+	own    float64 // of the request, with shared parts that must be read anew
+	isHome bool    // the upstream most likely has the shared parts
+}
+
 // choose returns an upstream, or false if none may take the request now.
 func (p *placer) choose(at time.Time, st *fleet.State, q placeRequest) (place, bool) {
 	p.mu.Lock()
@@ -150,14 +190,11 @@
 		u := p.places[i]
 		s := p.stateOf(u)
 		pl := place{
-			Upstream: *u, p: p, inUse: s.inUse, candidates: len(p.candidates), work: p.candidates[i].Work,
-			isHome: i == route.Home(q.prefix, p.candidates), waiting: q.work.own,
-		}
-		if !pl.isHome {
-			pl.waiting += q.work.shared
+			Upstream: *u, p: p, inUse: s.inUse, candidates: len(p.candidates), queue: p.queueAt(i, q), isLater: q.isLater,
 		}
+		pl.waiting = pl.queue.own
 		s.inUse++
-		s.waiting += pl.waiting
+		s.wait(&pl, 1)
 		if p.isCold(at, u, s) {
 			s.coldSent = append(s.coldSent, at)
 		}
@@ -166,12 +203,27 @@
 	return place{}, false
 }
 
-// hasPlace reports whether choose would find an upstream.
-func (p *placer) hasPlace(at time.Time, st *fleet.State, q placeRequest) bool {
+// peek returns the queue at the upstream that choose would return, or false if
+// there is none.
+func (p *placer) peek(at time.Time, st *fleet.State, q placeRequest) (queue, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.collect(at, st, st.Table.Services[q.service], q, true)
-	return p.chooser.Choose(q.prefix, p.candidates) >= 0
+	i := p.chooser.Choose(q.prefix, p.candidates)
+	if i < 0 {
+		return queue{}, false
+	}
+	return p.queueAt(i, q), true
+}
+
+// queueAt returns the queue at a candidate.
+func (p *placer) queueAt(i int, q placeRequest) queue {
+	at := queue{ahead: p.candidates[i].Work - q.work.own, own: q.work.own, isHome: i == route.Home(q.prefix, p.candidates)}
+	if !at.isHome {
+		at.ahead -= q.rereadWork()
+		at.own += q.work.shared
+	}
+	return at
 }
 
 // collect fills the candidates. Upstreams that failed lately are left out if
@@ -206,11 +258,11 @@
 		p.places = append(p.places, u)
 		p.candidates = append(p.candidates, route.Candidate{
 			Hash: hash, InUse: s.inUse, Limit: max(u.Slots, 1) * queueFactor, Usable: true,
-			Work: s.work() + float64(others[s.key].Tokens) + q.work.own + rereadFactor*q.work.shared,
+			Work: s.ahead(others[s.key], q.isLater) + q.work.own + q.rereadWork(),
 		})
 	}
 	if home := route.Home(q.prefix, p.candidates); home >= 0 {
-		p.candidates[home].Work -= rereadFactor * q.work.shared
+		p.candidates[home].Work -= q.rereadWork()
 	}
 }
 
@@ -230,11 +282,11 @@
 func (p *placer) stateOf(u *fleet.Upstream) *upstreamState {
 	s := p.upstreams[u.ID]
 	if s == nil || s.born != u.Born {
-		inUse, waiting := 0, 0.0
+		old := upstreamState{}
 		if s != nil {
-			inUse, waiting = s.inUse, s.waiting
+			old = *s
 		}
-		s = &upstreamState{key: u.ID.Key(), born: u.Born, inUse: inUse, waiting: waiting}
+		s = &upstreamState{key: u.ID.Key(), born: u.Born, inUse: old.inUse, waiting: old.waiting, later: old.later}
 		p.upstreams[u.ID] = s
 	}
 	return s
@@ -286,7 +338,7 @@
 
 func (pl *place) endWaiting() {
 	if s := pl.p.upstreams[pl.ID]; s != nil {
-		s.waiting = max(s.waiting-pl.waiting, 0)
+		s.wait(pl, -1)
 	}
 	pl.waiting = 0
 }
@@ -298,7 +350,7 @@
 	defer p.mu.Unlock()
 	b := jdaw.Backlog{}
 	for _, s := range p.upstreams {
-		load := jdaw.UpstreamLoad{Tokens: uint32(s.work())}
+		load := jdaw.UpstreamLoad{Tokens: uint32(s.work()), Later: uint32(s.later)}
 		load.Ended, load.Failed = s.recent.counts(at)
 		if load != (jdaw.UpstreamLoad{}) {
 			b[s.key] = load
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,16 +53,17 @@
 
 // Relay forwards requests. It implements [http.Handler].
 type Relay struct {
-	cfg    Config
-	placer *placer
-	budget *budget
-	paces  *paces
-	strain *strain
+	cfg     Config
+	placer  *placer
+	budget  *budget
+	paces   *paces
+	giveUps *giveUps
+	reading *reading
 }
 
 // New returns a relay.
 func New(cfg Config) *Relay {
-	return &Relay{cfg: cfg, placer: newPlacer(cfg.Self, cfg.Backlogs), budget: newBudget(), paces: newPaces(), strain: newStrain()}
+	return &Relay{cfg: cfg, placer: newPlacer(cfg.Self, cfg.Backlogs), budget: newBudget(), paces: newPaces(), giveUps: newGiveUps(), reading: newReading()}
 }
 
 // Forget drops what was remembered of upstreams that are gone.
@@ -87,7 +88,6 @@
 	hasBody   bool
 	began     time.Time
 	ends      time.Time
-	prefix    uint64
 
 	attempts   int // upstreams that got the request
 	tries      int // with those that could not be reached
@@ -271,19 +271,28 @@
 
 // urgency is the request's rank in an upstream's queue. Short work goes before
 // long work: the larger model of a cascade takes upstreams ten times the time of
-// the first one, and everything behind it would wait.
-func (c *call) urgency() int {
+// the first one, and everything behind it would wait. Among later steps, prompts
+// that take long to read go first, since they have the least time to wait.
+func (c *call) urgency(q queue) int {
 	rank := c.route.Rank
 	if c.rank >= 0 {
 		rank = c.rank
 	}
 	rank = min(rank, escalatedRank-1)
-	if s := c.streaming; s != nil && s.isEscalated() {
-		rank += escalatedRank
+	if s := c.streaming; s == nil || !s.isEscalated() {
+		return rank
 	}
-	return rank
+	if c.x.reading.predict(c.service, q.own) > time.Duration(longShare*float64(c.route.Target)) {
+		return escalatedRank
+	}
+	return escalatedRank + rank
 }
 
-// escalatedRank is the rank from which on the later steps of cascades are
-// ordered. Upstreams have the ranks 0 to 9.
-const escalatedRank = 5
+const (
+	// escalatedRank is the rank from which on the later steps of cascades are
+	// ordered. Upstreams have the ranks 0 to 9.
+	escalatedRank = 5
+	// longShare is the part of the target from which on a prompt takes long to
+	// read. With a quarter, these are the largest fifth of the longest kind.
+	longShare = 0.25
+)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -49,7 +49,6 @@
 	c.streaming = s
 	c.startCascade(s)
 	for {
-		c.prefix = promptPrefix(c.info.Prompt, c.model)
 		a, err := c.next(s.model(), s.last, c.left())
 		v, ended := c.judge(a, err)
 		if !ended && a.answer.Status == http.StatusOK {
@@ -80,7 +79,7 @@
 			continue
 		}
 		if !c.isStarted {
-			c.x.strain.began(time.Since(c.began), c.route.Target)
+			c.x.giveUps.earn()
 		}
 		if v.err == nil {
 			v.err = jdaw.Fail(jdaw.CodeUpstreamFailed, "the upstreams failed the request")
@@ -165,7 +164,6 @@
 	}
 	plan := s.cascade.plan
 	plan.Remaining = c.left()
-	plan.Target *= c.x.strain.cascadeShare()
 	rating := float64(a.info.Confidence) / 100
 	next, ok := c.x.cfg.Planner.Next(plan, s.cascade.step, true, rating)
 	c.x.cfg.Learner.Learn(jdaw.StepOutcome{
@@ -173,10 +171,10 @@
 		Rated: true, Rating: rating, Accepted: rating >= plan.Target, Escalated: s.cascade.step > 0,
 		Duration: time.Since(a.sentAt), Tokens: c.info.PromptTokens/4 + c.info.OutputTokens,
 	})
-	ok = ok && c.attempts < c.route.MaxAttempts && c.x.budget.spend(c.service, retryReserve)
 	s.cascade.decision = logrus.Fields{
 		"confidence": a.info.Confidence, "target": plan.Target, "remainingMs": plan.Remaining.Milliseconds(),
 	}
+	ok = ok && c.attempts < c.route.MaxAttempts && s.hasRoom(plan.Models[next]) && c.x.budget.spend(c.service, retryReserve)
 	if !ok {
 		return false // the line of the end tells the decision
 	}
@@ -189,6 +187,31 @@
 	return true
 }
 
+// maxQueueShare is the largest part of the time left to the target that a later
+// step of a cascade may wait at its upstream. The largest model takes ten times
+// the upstreams' time of the smallest: without a bound, what waits for it also
+// slows the streams that run there until they miss their deadlines.
+const maxQueueShare = 0.9
+
+// hasRoom reports whether a larger model may be asked behind work that takes
+// its upstream this long. Only the work before the prompt counts, so that long
+// prompts get it as often as short ones. Once the target is missed, a larger
+// model is asked if nothing waits.
+func hasRoom(wait, left time.Duration) bool {
+	return wait <= time.Duration(maxQueueShare*float64(max(left, 0)))
+}
+
+// hasRoom reports whether the upstream of a larger model has room for the
+// request.
+func (s *streaming) hasRoom(model string) bool {
+	c := s.c
+	st := c.x.cfg.Fleet.State()
+	q, ok := c.x.placer.peek(time.Now(), st, c.placeRequest(st, model, true))
+	wait := c.x.reading.predict(c.service, q.ahead)
+	s.cascade.decision["queueMs"] = wait.Milliseconds()
+	return ok && (c.route.Target <= 0 || hasRoom(wait, c.route.Target-time.Since(c.began)))
+}
+
 // pass passes the events of one answer on. It returns nil at the whole end.
 func (s *streaming) pass(a *attempt) error {
 	c := s.c
@@ -205,6 +228,9 @@
 		}
 		a.silence.Reset(s.patience(true))
 		a.sawEvent(time.Now())
+		if a.events == 1 && s.isEscalated() {
+			c.x.reading.learn(c.service, a.place.queue, a.first.Sub(a.sentAt))
+		}
 		if a.events == earlyPaceEvents {
 			c.countEarly(a)
 		}
@@ -245,8 +271,11 @@
 // silence is no reason to end an answer.
 func (s *streaming) giveUp(a *attempt) {
 	c := s.c
-	q := placeRequest{service: c.service, draw: c.draw, prefix: c.prefix, exclude: []jdaw.UpstreamID{a.place.ID}}
-	if c.x.strain.mayGiveUp() && c.x.placer.hasPlace(time.Now(), c.x.cfg.Fleet.State(), q) && c.x.budget.spend(c.service, 0) {
+	st := c.x.cfg.Fleet.State()
+	q := c.placeRequest(st, s.model(), s.isEscalated())
+	q.exclude = []jdaw.UpstreamID{a.place.ID}
+	_, hasPlace := c.x.placer.peek(time.Now(), st, q)
+	if hasPlace && c.x.giveUps.spend() && c.x.budget.spend(c.service, 0) {
 		s.hasBudget.Store(true)
 		a.gaveUp.Store(true)
 		a.cancel()
@@ -263,7 +292,7 @@
 	copyHeader(c.w.Header(), a.answer.Header)
 	c.isStarted = true
 	c.status = a.answer.Status
-	c.x.strain.began(time.Since(c.began), c.route.Target)
+	c.x.giveUps.earn()
 	c.w.WriteHeader(a.answer.Status)
 }
 
