Tell a silent attempt's choice from its own request, and age the rate of reading

A timer that gives a silent attempt up read the step of the cascade while the request's goroutine may change it; the attempt now keeps what it asked the placer for. A VM that was a hub once answered with the suspects of that time; it now passes on what is recent. explain tells the time that a larger model would wait.

Ruled out: a shorter age, since all VMs would ask larger models at once under a load that leaves no room for 5 s.

Tests: TestReadingRate (too old), TestExplanation.

--- a/events/logs.go
+++ b/events/logs.go
@@ -205,8 +205,12 @@
 }
 
 func describeStep(f logFields) string {
-	return fmt.Sprintf("model %s answers with confidence %s, target %s, %s ms are left",
+	text := fmt.Sprintf("model %s answers with confidence %s, target %s, %s ms are left",
 		f.text("model"), f.text("confidence"), f.text("target"), f.text("remainingMs"))
+	if wait := f.text("queueMs"); wait != "" {
+		text += fmt.Sprintf(", a larger model would wait for %s ms", wait)
+	}
+	return text
 }
 
 func describeEnd(l logLine) string {
--- a/loads/node.go
+++ b/loads/node.go
@@ -49,9 +49,8 @@
 	cancel context.CancelFunc
 	wg     conc.WaitGroup
 
-	mu       sync.Mutex
-	board    *board
-	suspects map[jdaw.UpstreamKey]bool // as the hub of a data centre
+	mu    sync.Mutex
+	board *board
 	// avoided are hubs that failed, until when. Only the exchange uses it.
 	avoided map[jdaw.VMID]time.Time
 }
@@ -171,17 +170,16 @@
 	add(total, own)
 	found := suspects(st, total)
 	n.logSuspects(st, found, total)
-	n.suspects = found
 	n.known.Store(&report{others: others, suspects: found, at: now})
 }
 
 // logSuspects logs the upstreams that became suspects and those that no longer
-// are. Suspects are never changed once they are in use.
+// are.
 func (n *Node) logSuspects(st *fleet.State, found map[jdaw.UpstreamKey]bool, total jdaw.Backlog) {
 	for service, list := range st.Upstreams {
 		for i := range list {
 			key := list[i].ID.Key()
-			if found[key] == n.suspects[key] {
+			if found[key] == n.IsSuspect(key) {
 				continue
 			}
 			load := total[key]
@@ -228,8 +226,11 @@
 		return &wire.ExchangeBacklogReply{Others: encode(n.board.own(now, own))}, nil
 	}
 	reply := &wire.ExchangeBacklogReply{Others: encodeTokens(n.board.vmSeen(now, jdaw.VMID(q.GetVm()), backlog, own))}
-	for key := range n.suspects {
-		reply.Suspects = append(reply.Suspects, uint32(key))
+	// A VM that is no hub by its own view passes on what its hub told it.
+	if known := n.recent(); known != nil {
+		for key := range known.suspects {
+			reply.Suspects = append(reply.Suspects, uint32(key))
+		}
 	}
 	return reply, nil
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -39,6 +39,7 @@
 
 // attempt is one request to one upstream.
 type attempt struct {
+	asked  placeRequest
 	place  place
 	answer *dial.Answer
 	info   jdaw.Answer
@@ -120,7 +121,7 @@
 	h := cloneHeader(c.r.Header)
 	c.x.cfg.Protocol.WriteAttempt(h, jdaw.Attempt{
 		Upstream: pl.ID, Workspace: c.workspace, Deadline: min(limit, c.left()),
-		ResumeAfter: resumeAfter, Model: model, Urgency: c.urgency(pl.queue),
+		ResumeAfter: resumeAfter, Model: model, Urgency: c.urgency(at, pl.queue),
 	})
 	req := dial.Request{
 		Address: pl.Address, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
@@ -129,7 +130,7 @@
 	if !c.route.IsRepeatable() {
 		req.MaxIdle = unsafeIdle
 	}
-	a := &attempt{place: pl, cancel: cancel, sentAt: at}
+	a := &attempt{asked: q, place: pl, cancel: cancel, sentAt: at}
 	req.IsOwn = func(status int, h http.Header) bool {
 		a.info = c.x.cfg.Protocol.ReadAnswer(status, h)
 		return a.info.RequestID == "" || a.info.RequestID == c.info.ID
--- a/relay/cascade_load_test.go
+++ b/relay/cascade_load_test.go
@@ -133,13 +133,13 @@
 			}
 			result.unsure++
 			q, ok := p.peek(at, st, large)
-			if !ok || !l.hasRoom(rate.predict("drafts", q.ahead), target-at.Sub(began)) {
+			if !ok || !l.hasRoom(rate.predict(at, "drafts", q.ahead), target-at.Sub(began)) {
 				answer(began, at)
 				return
 			}
 			result.escalated++
 			send(at, large, escalatedRank, func(first time.Time, q queue) {
-				rate.learn("drafts", q, first.Sub(at))
+				rate.learn(first, "drafts", q, first.Sub(at))
 				answer(began, first)
 			})
 		})
@@ -184,27 +184,29 @@
 }
 
 // Guards against a rate that is used before it is known, that mixes services,
-// or that does not follow upstreams which have become slower.
+// that does not follow upstreams which have become slower, or that forbids later
+// steps for good.
 func TestReadingRate(t *testing.T) {
 	r := newReading()
-	check := func(what, service string, want time.Duration) {
+	check := func(what, service string, age, want time.Duration) {
 		t.Helper()
-		if got := r.predict(service, 1000); got < want*9/10 || got > want*11/10 {
+		if got := r.predict(now.Add(age), service, 1000); got < want*9/10 || got > want*11/10 {
 			t.Errorf("%s: predicted %s, want about %s", what, got, want)
 		}
 	}
 	learn := func(n int, took time.Duration) {
 		for range n {
-			r.learn("a", queue{ahead: 3000, own: 1000}, took)
+			r.learn(now, "a", queue{ahead: 3000, own: 1000}, took)
 		}
 	}
 	learn(minReadings-1, 400*time.Millisecond)
-	check("too few", "a", 0)
+	check("too few", "a", 0, 0)
 	learn(1, 400*time.Millisecond)
-	check("quick", "a", 100*time.Millisecond)
-	check("another service", "b", 0)
+	check("quick", "a", time.Second, 100*time.Millisecond)
+	check("another service", "b", 0, 0)
 	learn(100, 2*time.Second)
-	check("slower", "a", 500*time.Millisecond)
+	check("slower", "a", readingMaxAge, 500*time.Millisecond)
+	check("too old", "a", readingMaxAge+1, 0)
 }
 
 // Guards against attempts that are given up for silence one after the other
@@ -259,7 +261,7 @@
 func TestUrgencyOfLongPrompts(t *testing.T) {
 	x := &Relay{reading: newReading()}
 	for range minReadings {
-		x.reading.learn("s", queue{own: 1000}, 50*time.Millisecond)
+		x.reading.learn(now, "s", queue{own: 1000}, 50*time.Millisecond)
 	}
 	cases := map[string]struct {
 		step   int
@@ -275,7 +277,7 @@
 			q := &call{x: x, rank: 2, service: "s"}
 			q.route.Target = 4 * time.Second
 			q.streaming = &streaming{c: q, cascade: &cascade{step: c.step}}
-			if got := q.urgency(queue{own: c.tokens}); got != c.want {
+			if got := q.urgency(now, queue{own: c.tokens}); got != c.want {
 				t.Errorf("rank %d, want %d", got, c.want)
 			}
 		})
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -56,8 +56,8 @@
 	if a := c.last; a != nil {
 		entry = entry.WithFields(logrus.Fields{
 			"version": a.place.Version, "candidates": a.place.candidates, "inUse": a.place.inUse,
-			"ahead": int(a.place.queue.ahead), "isHome": a.place.queue.isHome, "promptTokens": c.info.PromptTokens, "events": a.events, "firstEventMs": a.first.Sub(a.sentAt).Milliseconds(),
-			"paceUs": a.pace().Microseconds(),
+			"ahead": int(a.place.queue.ahead), "isHome": a.place.queue.isHome, "promptTokens": c.info.PromptTokens,
+			"events": a.events, "firstEventMs": a.first.Sub(a.sentAt).Milliseconds(), "paceUs": a.pace().Microseconds(),
 		})
 	}
 	if s := c.streaming; s != nil && s.cascade != nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -63,7 +63,10 @@
 
 // New returns a relay.
 func New(cfg Config) *Relay {
-	return &Relay{cfg: cfg, placer: newPlacer(cfg.Self, cfg.Backlogs), budget: newBudget(), paces: newPaces(), giveUps: newGiveUps(), reading: newReading()}
+	return &Relay{
+		cfg: cfg, placer: newPlacer(cfg.Self, cfg.Backlogs), budget: newBudget(), paces: newPaces(),
+		giveUps: newGiveUps(), reading: newReading(),
+	}
 }
 
 // Forget drops what was remembered of upstreams that are gone.
@@ -273,7 +276,7 @@
 // long work: the larger model of a cascade takes upstreams ten times the time of
 // the first one, and everything behind it would wait. Among later steps, prompts
 // that take long to read go first, since they have the least time to wait.
-func (c *call) urgency(q queue) int {
+func (c *call) urgency(at time.Time, q queue) int {
 	rank := c.route.Rank
 	if c.rank >= 0 {
 		rank = c.rank
@@ -282,7 +285,7 @@
 	if s := c.streaming; s == nil || !s.isEscalated() {
 		return rank
 	}
-	if c.x.reading.predict(c.service, q.own) > time.Duration(longShare*float64(c.route.Target)) {
+	if c.x.reading.predict(at, c.service, q.own) > time.Duration(longShare*float64(c.route.Target)) {
 		return escalatedRank
 	}
 	return escalatedRank + rank
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -174,7 +174,7 @@
 	s.cascade.decision = logrus.Fields{
 		"confidence": a.info.Confidence, "target": plan.Target, "remainingMs": plan.Remaining.Milliseconds(),
 	}
-	ok = ok && c.attempts < c.route.MaxAttempts && s.hasRoom(plan.Models[next]) && c.x.budget.spend(c.service, retryReserve)
+	ok = ok && c.attempts < c.route.MaxAttempts && s.canEscalate(plan.Models[next]) && c.x.budget.spend(c.service, retryReserve)
 	if !ok {
 		return false // the line of the end tells the decision
 	}
@@ -201,15 +201,16 @@
 	return wait <= time.Duration(maxQueueShare*float64(max(left, 0)))
 }
 
-// hasRoom reports whether the upstream of a larger model has room for the
+// canEscalate reports whether the upstream of a larger model has room for the
 // request.
-func (s *streaming) hasRoom(model string) bool {
+func (s *streaming) canEscalate(model string) bool {
 	c := s.c
 	st := c.x.cfg.Fleet.State()
-	q, ok := c.x.placer.peek(time.Now(), st, c.placeRequest(st, model, true))
-	wait := c.x.reading.predict(c.service, q.ahead)
+	at := time.Now()
+	q, ok := c.x.placer.peek(at, st, c.placeRequest(st, model, true))
+	wait := c.x.reading.predict(at, c.service, q.ahead)
 	s.cascade.decision["queueMs"] = wait.Milliseconds()
-	return ok && (c.route.Target <= 0 || hasRoom(wait, c.route.Target-time.Since(c.began)))
+	return ok && (c.route.Target <= 0 || hasRoom(wait, c.route.Target-at.Sub(c.began)))
 }
 
 // pass passes the events of one answer on. It returns nil at the whole end.
@@ -229,7 +230,7 @@
 		a.silence.Reset(s.patience(true))
 		a.sawEvent(time.Now())
 		if a.events == 1 && s.isEscalated() {
-			c.x.reading.learn(c.service, a.place.queue, a.first.Sub(a.sentAt))
+			c.x.reading.learn(a.first, c.service, a.place.queue, a.first.Sub(a.sentAt))
 		}
 		if a.events == earlyPaceEvents {
 			c.countEarly(a)
@@ -271,10 +272,9 @@
 // silence is no reason to end an answer.
 func (s *streaming) giveUp(a *attempt) {
 	c := s.c
-	st := c.x.cfg.Fleet.State()
-	q := c.placeRequest(st, s.model(), s.isEscalated())
+	q := a.asked
 	q.exclude = []jdaw.UpstreamID{a.place.ID}
-	_, hasPlace := c.x.placer.peek(time.Now(), st, q)
+	_, hasPlace := c.x.placer.peek(time.Now(), c.x.cfg.Fleet.State(), q)
 	if hasPlace && c.x.giveUps.spend() && c.x.budget.spend(c.service, 0) {
 		s.hasBudget.Store(true)
 		a.gaveUp.Store(true)
