Set the state of the test of suspects before its VMs start

The product is not concerned. Ruled out: a race in package loads, whose state is immutable.

Before: the race is reported when the exchange runs before the write. After: 5 of 5 runs under the race detector.

--- a/loads/node_test.go
+++ b/loads/node_test.go
@@ -24,12 +24,13 @@
 	srv  *grpc.Server
 }
 
-// startVMs starts VMs that know each other, some in each data centre.
+// startVMs starts VMs that know each other, some in each data centre, and a
+// service of three upstreams.
 func startVMs(t *testing.T, perCentre map[jdaw.DataCentre]int) (map[jdaw.VMID]*testVM, *fleet.State) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	st := &fleet.State{}
+	st := &fleet.State{Upstreams: map[string][]fleet.Upstream{"desk": {{ID: "u0"}, {ID: "u1"}, {ID: "u2"}}}}
 	listeners := map[jdaw.VMID]net.Listener{}
 	for dc, n := range perCentre {
 		for i := range n {
@@ -99,8 +100,7 @@
 // getting them, because each VM alone sees one of them: five VMs in two data
 // centres have one failure each.
 func TestFailuresOfAllVMsMakeASuspect(t *testing.T) {
-	vms, st := startVMs(t, map[jdaw.DataCentre]int{"largs": 3, "oban": 2})
-	st.Upstreams = map[string][]fleet.Upstream{"desk": {{ID: "u0"}, {ID: "u1"}, {ID: "u2"}}}
+	vms, _ := startVMs(t, map[jdaw.DataCentre]int{"largs": 3, "oban": 2})
 	bad, good := jdaw.UpstreamID("u0").Key(), jdaw.UpstreamID("u1").Key()
 	for _, v := range vms {
 		v.own.Store(&jdaw.Backlog{
