--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -105,7 +105,7 @@
 func (c *call) next(model, resumeAfter string, limit time.Duration) (*attempt, error) {
 	st := c.x.cfg.Fleet.State()
 	at := time.Now()
-	q := c.placeRequest(st, model, c.streaming != nil && c.streaming.isEscalated())
+	q := c.placeRequest(st, model, c.streaming.isEscalated())
 	q.exclude = c.exclude
 	pl, ok := c.x.placer.choose(at, st, q)
 	if !ok && len(c.exclude) > 0 && c.mayRepeatAt() {
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -19,35 +19,23 @@
 // budget bounds the requests beyond the first that a VM sends to a service. It
 // is safe for concurrent use.
 type budget struct {
-	mu     sync.Mutex
-	tokens map[string]float64
+	mu      sync.Mutex
+	buckets map[string]*bucket
 }
 
-func newBudget() *budget { return &budget{tokens: map[string]float64{}} }
+func newBudget() *budget { return &budget{buckets: map[string]*bucket{}} }
 
-func (b *budget) get(service string) float64 {
-	t, ok := b.tokens[service]
-	if !ok {
-		return retryBurst
+func (b *budget) of(service string) *bucket {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.buckets[service] == nil {
+		b.buckets[service] = newBucket(retryEarned, retryBurst)
 	}
-	return t
+	return b.buckets[service]
 }
 
 // earn adds for a first request.
-func (b *budget) earn(service string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.tokens[service] = min(b.get(service)+retryEarned, retryBurst)
-}
+func (b *budget) earn(service string) { b.of(service).earn() }
 
 // spend takes one repeat and leaves a reserve.
-func (b *budget) spend(service string, reserve float64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	t := b.get(service)
-	if t < 1+reserve {
-		return false
-	}
-	b.tokens[service] = t - 1
-	return true
-}
+func (b *budget) spend(service string, reserve float64) bool { return b.of(service).spend(reserve) }
--- a/relay/cascade_load_test.go
+++ b/relay/cascade_load_test.go
@@ -216,7 +216,7 @@
 	given := 0
 	for range 100 {
 		g.earn()
-		if g.spend() {
+		if g.spend(0) {
 			given++
 		}
 	}
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -121,9 +121,11 @@
 
 	mu        sync.Mutex
 	upstreams map[jdaw.UpstreamID]*upstreamState
-	// candidates and places are kept between choices.
+	// candidates, places and home are those of the last collect; the slices are
+	// kept between choices.
 	candidates []route.Candidate
 	places     []*fleet.Upstream
+	home       int // index of the candidate that has the shared parts, or -1
 }
 
 func newPlacer(self jdaw.VMID, backlogs Backlogs) *placer {
@@ -218,7 +220,7 @@
 
 // queueAt returns the queue at a candidate.
 func (p *placer) queueAt(i int, q placeRequest) queue {
-	at := queue{ahead: p.candidates[i].Work - q.work.own, own: q.work.own, isHome: i == route.Home(q.prefix, p.candidates)}
+	at := queue{ahead: p.candidates[i].Work - q.work.own, own: q.work.own, isHome: i == p.home}
 	if !at.isHome {
 		at.ahead -= q.rereadWork()
 		at.own += q.work.shared
@@ -261,8 +263,9 @@
 			Work: s.ahead(others[s.key], q.isLater) + q.work.own + q.rereadWork(),
 		})
 	}
-	if home := route.Home(q.prefix, p.candidates); home >= 0 {
-		p.candidates[home].Work -= q.rereadWork()
+	p.home = route.Home(q.prefix, p.candidates)
+	if p.home >= 0 {
+		p.candidates[p.home].Work -= q.rereadWork()
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -57,7 +57,7 @@
 	placer  *placer
 	budget  *budget
 	paces   *paces
-	giveUps *giveUps
+	giveUps *bucket
 	reading *reading
 }
 
@@ -282,7 +282,7 @@
 		rank = c.rank
 	}
 	rank = min(rank, escalatedRank-1)
-	if s := c.streaming; s == nil || !s.isEscalated() {
+	if !c.streaming.isEscalated() {
 		return rank
 	}
 	if c.x.reading.predict(at, c.service, q.own) > time.Duration(longShare*float64(c.route.Target)) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -153,7 +153,8 @@
 }
 
 // isEscalated reports whether a cascade has left its first model.
-func (s *streaming) isEscalated() bool { return s.cascade != nil && s.cascade.step > 0 }
+// A request that is no stream has none.
+func (s *streaming) isEscalated() bool { return s != nil && s.cascade != nil && s.cascade.step > 0 }
 
 // escalate drops the answer of a model that is not confident, if a larger one
 // can still answer in time, and returns true if another attempt follows.
@@ -275,7 +276,7 @@
 	q := a.asked
 	q.exclude = []jdaw.UpstreamID{a.place.ID}
 	_, hasPlace := c.x.placer.peek(time.Now(), c.x.cfg.Fleet.State(), q)
-	if hasPlace && c.x.giveUps.spend() && c.x.budget.spend(c.service, 0) {
+	if hasPlace && c.x.giveUps.spend(0) && c.x.budget.spend(c.service, 0) {
 		s.hasBudget.Store(true)
 		a.gaveUp.Store(true)
 		a.cancel()
