Give back a credit whose request has ended before it arrived

A request whose context had ended waits for its answer in a select over the answer and the context; with both ready, one is picked at random, so a grant that arrived first went to a caller that had left. The credit stayed held, and was renewed, for as long as the VM lived.

Change: an answer to a request that has ended is discarded in the owner's node (for its own and other VMs' requests), and the holder gives back a credit that arrives after its request has ended.

Test: TestRequestThatHasEndedGetsNoCredit failed before in both cases.

--- a/owner/holder.go
+++ b/owner/holder.go
@@ -168,7 +168,7 @@
 	}
 	switch a := a.(type) {
 	case Grant:
-		c, err := h.take(start, a.Waited, q, jdaw.Credit{
+		c, err := h.take(ctx, start, a.Waited, q, jdaw.Credit{
 			ID: a.Credit, Pool: q.Pool, Upstream: a.Upstream, Address: a.Address, Version: a.Version,
 		})
 		return c, nil, err
@@ -194,7 +194,7 @@
 		where := &behind{revision: jdaw.Revision(reply.GetHeader().GetRevision()), addr: m.PeerAddr}
 		return h.refused(code, reply.GetMessage(), after, where)
 	}
-	c, err := h.take(start, time.Duration(reply.GetWaitedMicros())*time.Microsecond, q, jdaw.Credit{
+	c, err := h.take(ctx, start, time.Duration(reply.GetWaitedMicros())*time.Microsecond, q, jdaw.Credit{
 		ID: reply.GetCredit(), Pool: q.Pool, Upstream: jdaw.UpstreamID(reply.GetUpstream()),
 		Address: reply.GetAddress(), Version: jdaw.ParseModelVersion(reply.GetVersion()),
 	})
@@ -239,18 +239,23 @@
 }
 
 // take notes a credit as held. A credit that arrives after its validity, for
-// instance from an owner that was paused, is given back.
-func (h *Holder) take(start time.Time, waited time.Duration, q jdaw.CreditRequest, c jdaw.Credit) (jdaw.Credit, error) {
+// instance from an owner that was paused, or after its request has ended, is
+// given back.
+func (h *Holder) take(ctx context.Context, start time.Time, waited time.Duration, q jdaw.CreditRequest, c jdaw.Credit) (jdaw.Credit, error) {
 	c.UseBefore = start.Add(waited + creditValidity)
 	h.mu.Lock()
 	h.held[c.ID] = Held{Credit: c.ID, Pool: c.Pool, Upstream: c.Upstream, Workspace: q.Workspace}
 	h.order = append(h.order, c.ID)
 	h.mu.Unlock()
-	if h.n.cfg.Clock.Now().Before(c.UseBefore) {
+	isInTime := h.n.cfg.Clock.Now().Before(c.UseBefore)
+	if isInTime && ctx.Err() == nil {
 		return c, nil
 	}
 	h.Release(jdaw.CreditResult{Credit: c, Workspace: q.Workspace, Outcome: jdaw.OutcomeUnused})
-	return jdaw.Credit{}, jdaw.Fail(jdaw.CodeNoOwner, "the credit arrived too late to be used")
+	if !isInTime {
+		return jdaw.Credit{}, jdaw.Fail(jdaw.CodeNoOwner, "the credit arrived too late to be used")
+	}
+	return jdaw.Credit{}, callError(ctx, ctx.Err())
 }
 
 // Started implements jdaw.Credits. It travels with the releases.
--- a/owner/node.go
+++ b/owner/node.go
@@ -190,11 +190,17 @@
 	}}})
 }
 
-// await waits for the answer to a ticket.
+// await waits for the answer to a ticket. A request that has ended gets no
+// credit, also if the grant arrived first: select picks at random when both are
+// ready, and a caller that has left would keep the credit without using it.
 func (n *Node) await(ctx context.Context, ticket uint64, ch chan jdaw.Action) (jdaw.Action, error) {
 	select {
 	case a := <-ch:
-		return a, nil
+		if ctx.Err() == nil {
+			return a, nil
+		}
+		n.discard(a)
+		return nil, context.Cause(ctx)
 	case <-ctx.Done():
 	case <-n.ctx.Done():
 	}
@@ -202,11 +208,16 @@
 		n.cfg.Post(AcquireCancelled{Ticket: ticket})
 		return nil, context.Cause(ctx)
 	}
-	// The answer came at the same moment; a credit must not be lost.
-	if a, ok := (<-ch).(Grant); ok {
+	// The answer came at the same moment.
+	n.discard(<-ch)
+	return nil, context.Cause(ctx)
+}
+
+// discard gives back the credit of an answer that nobody waits for.
+func (n *Node) discard(a jdaw.Action) {
+	if a, ok := a.(Grant); ok {
 		n.giveBack(a)
 	}
-	return nil, context.Cause(ctx)
 }
 
 // request sends a request to the machine and waits for its decision.
--- a/owner/node_test.go
+++ b/owner/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -274,6 +275,57 @@
 	acquire(t, other, time.Second)
 }
 
+// Guards against a credit that goes to a request which has ended: its caller
+// has left and would never release it, and the place at the upstream stays taken
+// for as long as the VM renews the credit. The grant is there before the request
+// looks whether it has ended, as on a busy machine.
+func TestRequestThatHasEndedGetsNoCredit(t *testing.T) {
+	t.Parallel()
+	cases := map[string]func(*owner.Node, context.Context) error{
+		"of this VM": func(n *owner.Node, ctx context.Context) error {
+			_, err := n.Holder().Acquire(ctx, creditRequest(time.Second))
+			return err
+		},
+		"of another VM": func(n *owner.Node, ctx context.Context) error {
+			_, err := n.Acquire(ctx, &wire.AcquireRequest{Header: &wire.Header{}, Pool: poolID.String()})
+			return err
+		},
+	}
+	for name, acquire := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			self := &testNode{vm: vmName(0)}
+			self.view.Store(view(self.vm, 1))
+			self.snap.Store(config.NewSnapshot(document(1), nil))
+			granted, released := 0, 0
+			self.node = owner.NewNode(owner.NodeConfig{
+				Self: self.vm, Views: self, Configs: self, Header: self.header,
+				Post: func(ev jdaw.Event) {
+					switch ev := ev.(type) {
+					case owner.AcquireRequested:
+						granted++
+						self.node.Execute(owner.Grant{Ticket: ev.Ticket, Credit: fmt.Sprint(granted), Pool: poolID, Upstream: upstreamName(0)})
+					case owner.CreditsReleased:
+						released += len(ev.Releases)
+					}
+				},
+			})
+			defer self.node.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			const requests = 50
+			for range requests {
+				if err := acquire(self.node, ctx); err == nil {
+					t.Fatal("a request that has ended got a credit")
+				}
+			}
+			if granted != requests || released != requests {
+				t.Errorf("%d credits granted and %d released, want %d", granted, released, requests)
+			}
+		})
+	}
+}
+
 // Guards against a grant that was lost on its way: no VM holds the credit,
 // and the renewals show it.
 func TestLostGrantIsFreedByRenewals(t *testing.T) {
