Read the store through other VMs while it turns a VM away

The reads come from VMs that the store turns away or that are cut off from it: each asks for everything again every 0.8 s, although other VMs hear the store and could tell them.

Change: a VM whose watch fails asks up to two other VMs that read the store, in every data centre and at every size, and stays current with their news. Only a VM that reads the store itself passes changes on: two cut-off VMs could otherwise take each other's silence for that of the store. Two VMs of a large data centre read for the others in place of three.

--- a/feed/doc.go
+++ b/feed/doc.go
@@ -7,10 +7,10 @@
 //
 // # Usage
 //
-//	f := feed.New(feed.Config{IsCurrent: node.IsCurrent})
+//	f := feed.New(feed.Config{IsCurrent: node.ReadsStore})
 //	defer f.Close()
 //	wire.RegisterFeedServer(server, f)
 //	f.Restart(revision)         // after everything was read
 //	f.Add(changes, next)        // after each read of changes
-//	changes, next, err := f.Changes(ctx, "10.0.0.2:7400", after, time.Second)
+//	changes, next, err := f.Changes(ctx, "10.0.0.2:7400", jdaw.FeedRequest{After: after, Wait: time.Second})
 package feed
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -30,7 +30,7 @@
 
 // Config configures a Feed. IsCurrent is required.
 type Config struct {
-	// IsCurrent reports whether this VM reads the store in time.
+	// IsCurrent reports whether this VM itself reads the store in time.
 	IsCurrent func() bool
 	Keep      int // changes
 }
@@ -107,7 +107,7 @@
 		changes, next, isKept, added := f.after(q.GetAfter())
 		reply := &wire.StoreChangesReply{Revision: next, Current: f.cfg.IsCurrent(), Gone: !isKept}
 		if len(changes) > 0 || !isKept || !reply.Current || isOver {
-			if isLarge(changes) {
+			if !q.GetAnySize() && isLarge(changes) {
 				reply.Large = true
 				return reply, nil
 			}
@@ -135,12 +135,14 @@
 }
 
 // Changes implements [jdaw.ChangeFeed].
-func (f *Feed) Changes(ctx context.Context, address string, after uint64, wait time.Duration) ([]jdaw.Change, uint64, error) {
+func (f *Feed) Changes(ctx context.Context, address string, q jdaw.FeedRequest) ([]jdaw.Change, uint64, error) {
 	conn, err := f.conns.Conn(address, time.Now())
 	if err != nil {
 		return nil, 0, err
 	}
-	reply, err := wire.NewFeedClient(conn).StoreChanges(ctx, &wire.StoreChangesRequest{After: after, WaitMillis: wait.Milliseconds()})
+	reply, err := wire.NewFeedClient(conn).StoreChanges(ctx, &wire.StoreChangesRequest{
+		After: q.After, WaitMillis: q.Wait.Milliseconds(), AnySize: q.IsAnySize,
+	})
 	switch {
 	case err != nil:
 		return nil, 0, errors.Wrapf(err, "ask the VM at %s for changes", address)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -54,7 +54,7 @@
 	at := uint64(10)
 	for at < 60 {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		changes, next, err := other.Changes(ctx, addr, at, 2*time.Second)
+		changes, next, err := other.Changes(ctx, addr, jdaw.FeedRequest{After: at, Wait: 2 * time.Second})
 		cancel()
 		if err != nil {
 			t.Fatal(err)
@@ -80,7 +80,7 @@
 		defer f.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		_, _, err := f.Changes(ctx, addr, after, 50*time.Millisecond)
+		_, _, err := f.Changes(ctx, addr, jdaw.FeedRequest{After: after, Wait: 50 * time.Millisecond})
 		return err
 	}
 	f, addr, isCurrent := startFeed(t, 2)
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -24,30 +24,8 @@
 )
 
 const (
-	// watchWait bounds how long a watch may be silent, so that a dead connection
-	// is noticed within 3 s. Each watch is a paid call.
-	watchWait = 2400 * time.Millisecond
-	// applyMargin is kept of the time in which a change must be in force; the
-	// rest is the pause between two watches, so that changes in quick succession
-	// cost one call and not one each. minPauseShare is the least pause.
-	applyMargin   = 800 * time.Millisecond
-	minPauseShare = 0.5
-	// quickPause is the pause in the last steps of a roll-out, which begin
-	// finalSteps before its deadline, and of the judge of a roll-out.
-	quickPause = 300 * time.Millisecond
-	finalSteps = 2200 * time.Millisecond
-	// freshWait is the time of a call above which its changes are new. The store
-	// answers within 4 ms if there are changes.
-	freshWait = 50 * time.Millisecond
-	// defaultApplyWithin is used if the configuration of the node states none.
-	defaultApplyWithin = 2 * time.Second
-	// watchSlack is the time above watchWait after which a watch counts as dead.
-	watchSlack = 500 * time.Millisecond
 	// callTimeout bounds all other calls; the store answers within 4 ms.
 	callTimeout = time.Second
-	// firstBackoff and lastBackoff pace the calls to a store that is away.
-	firstBackoff = 50 * time.Millisecond
-	lastBackoff  = 800 * time.Millisecond
 	// leaseTTL keeps a dead VM in the callers' answers for at most this time.
 	leaseTTL   = 3 * time.Second
 	renewEvery = time.Second
@@ -86,19 +64,27 @@
 type Node struct {
 	cfg     Config
 	state   atomic.Pointer[State]
-	contact atomic.Int64 // time of the last answer of the store, by BootTime
-	dueBy   atomic.Int64 // time of the next answer at the latest, by BootTime
-	ctx     context.Context
-	cancel  context.CancelFunc
-	wg      conc.WaitGroup
-	leave   chan struct{}
-	left    sync.Once
-	writes  chan write
+	contact atomic.Int64 // time of the last news of the store, by BootTime
+	// dueBy is the time of the next news at the latest, and storeDueBy that of the
+	// store's own answer, by BootTime.
+	dueBy      atomic.Int64
+	storeDueBy atomic.Int64
+	avoidUntil atomic.Int64  // end of the time without watches, by BootTime
+	answers    chan struct{} // the store answers renewals again
+	ctx        context.Context
+	cancel     context.CancelFunc
+	wg         conc.WaitGroup
+	leave      chan struct{}
+	left       sync.Once
+	writes     chan write
 
 	mu     sync.Mutex
 	counts map[jdaw.ModelVersion]guard.Counts
-	// avoided are feeders that failed, until when. Only the follower uses it.
+	// avoided are feeders that failed, until when, and lostAt is the time, by
+	// BootTime, since which the store does not answer; 0 while it does. Only the
+	// follower uses them.
 	avoided map[jdaw.VMID]time.Time
+	lostAt  time.Duration
 	failed  chan struct{}              // a failure waits to be shared
 	stale   map[jdaw.ModelVersion]bool // counts that were not shared yet
 }
@@ -117,7 +103,7 @@
 	n := &Node{
 		cfg: cfg, ctx: ctx, cancel: cancel, leave: make(chan struct{}), writes: make(chan write, 64),
 		counts: map[jdaw.ModelVersion]guard.Counts{}, stale: map[jdaw.ModelVersion]bool{},
-		avoided: map[jdaw.VMID]time.Time{}, failed: make(chan struct{}, 1),
+		avoided: map[jdaw.VMID]time.Time{}, failed: make(chan struct{}, 1), answers: make(chan struct{}, 1),
 	}
 	n.wg.Go(func() { n.follow() })
 	n.wg.Go(func() { n.register() })
@@ -139,16 +125,6 @@
 // State returns the state in force, or nil before the first read.
 func (n *Node) State() *State { return n.state.Load() }
 
-// Silence returns the time since the store's last answer.
-func (n *Node) Silence() time.Duration {
-	return jdaw.BootTime() - time.Duration(n.contact.Load())
-}
-
-// IsCurrent reports whether the store's changes are read in time. It is false
-// once an answer is overdue or a call has failed: then there may be changes
-// that this VM does not know.
-func (n *Node) IsCurrent() bool { return int64(jdaw.BootTime()) <= n.dueBy.Load() }
-
 // Execute carries out the actions of the machine and ignores all others. It
 // does not block.
 func (n *Node) Execute(a jdaw.Action) {
@@ -225,233 +201,8 @@
 	return n.cfg.Store.Put(ctx, key, b, lease)
 }
 
-// follow reads everything, then each change, and starts again after a gap.
-func (n *Node) follow() {
-	backoff := firstBackoff
-	isLost := false
-	for n.ctx.Err() == nil {
-		outage := n.Silence()
-		rev, err := n.load(outage)
-		if err != nil {
-			isLost = n.lost(isLost, err)
-			jdaw.Sleep(n.ctx, backoff)
-			backoff = min(2*backoff, lastBackoff)
-			continue
-		}
-		if isLost {
-			n.cfg.Log.WithField("outageMs", outage.Milliseconds()).Info("store regained")
-		}
-		isLost = false
-		backoff = firstBackoff
-		err = n.followFrom(rev)
-		if n.ctx.Err() == nil && !errors.Is(err, jdaw.ErrHistoryGone) {
-			isLost = n.lost(isLost, err)
-		}
-	}
-}
-
-func (n *Node) lost(already bool, err error) bool {
-	if !already {
-		n.cfg.Log.WithError(err).Warn("store lost")
-	}
-	return true
-}
-
-func (n *Node) load(outage time.Duration) (uint64, error) {
-	ctx, cancel := context.WithTimeout(n.ctx, 2*callTimeout)
-	defer cancel()
-	items, rev, err := n.cfg.Store.Load(ctx)
-	if err != nil {
-		return 0, err
-	}
-	lag := outage
-	if n.State() == nil {
-		lag = 0 // a VM that starts learns the age of a roll-out from its step
-	}
-	n.touch()
-	n.expectWatch(0)
-	n.cfg.Post(Reloading{Outage: outage})
-	// Orders go before what refers to them.
-	for _, own := range []bool{false, true} {
-		for _, c := range items {
-			if isOwn(c.Key) == own {
-				n.post(c, lag)
-			}
-		}
-	}
-	n.cfg.Post(Synced{Reloaded: true})
-	if n.cfg.Feed != nil {
-		n.cfg.Feed.Restart(rev)
-	}
-	return rev, nil
-}
-
-// followFrom posts changes until a call fails twice in a row: one failure may
-// be that of a connection.
-func (n *Node) followFrom(rev uint64) error {
-	failures := 0
-	paused := time.Duration(0)
-	for {
-		asked := time.Now()
-		changes, next, isFed, err := n.changes(rev)
-		if err != nil {
-			n.expectAnswer(0)
-			failures++
-			if n.ctx.Err() != nil || errors.Is(err, jdaw.ErrHistoryGone) || failures > 1 {
-				return err
-			}
-			jdaw.Sleep(n.ctx, firstBackoff)
-			continue
-		}
-		failures = 0
-		n.touch()
-		rev = max(rev, next)
-		lag := paused
-		switch {
-		case isFed:
-			lag = feederPause
-		case time.Since(asked) > freshWait:
-			lag = 0 // the changes came while the call waited
-		}
-		paused = 0
-		for _, c := range changes {
-			n.post(c, lag)
-		}
-		if len(changes) > 0 {
-			n.cfg.Post(Synced{})
-		}
-		if n.cfg.Feed != nil {
-			n.cfg.Feed.Add(changes, rev)
-		}
-		if isFed {
-			n.expectAnswer(feedWait + feedSlack)
-			continue
-		}
-		if len(changes) > 0 {
-			paused = n.pause()
-		}
-		n.expectWatch(paused)
-		if paused > 0 {
-			jdaw.Sleep(n.ctx, paused)
-		}
-	}
-}
-
-// changes waits for changes after a revision: from the VM that reads the store
-// for this one, or from the store. isFed says which it was.
-func (n *Node) changes(rev uint64) (changes []jdaw.Change, next uint64, isFed bool, err error) {
-	if feeder, ok := n.feeder(); ok {
-		ctx, cancel := context.WithTimeout(n.ctx, feedWait+feedSlack)
-		changes, next, err := n.cfg.Feed.Changes(ctx, feeder.Peers, rev, feedWait)
-		cancel()
-		if err == nil {
-			return changes, next, true, nil
-		}
-		if n.ctx.Err() == nil && !errors.Is(err, jdaw.ErrReadStore) {
-			n.avoided[feeder.VM] = time.Now().Add(avoidFeeder)
-			n.cfg.Log.WithError(err).WithField("feeder", feeder.VM).Info("feeder does not answer; the store is read instead")
-		}
-	}
-	wait, slack := n.watchTime()
-	ctx, cancel := context.WithTimeout(n.ctx, wait+slack)
-	defer cancel()
-	changes, next, err = n.cfg.Store.Changes(ctx, rev, wait)
-	return changes, next, false, err
-}
-
-func (n *Node) isFeeder() bool {
-	st := n.State()
-	return st != nil && n.cfg.Feed != nil && st.isFeeder(n.cfg.Self)
-}
-
-// watchTime returns the longest wait of a call to the store, and the time above
-// it after which the call has failed. A feeder must notice a loss before others
-// rely on it for too long.
-func (n *Node) watchTime() (wait, slack time.Duration) {
-	if n.isFeeder() {
-		return feedWait, feedSlack
-	}
-	return watchWait, watchSlack
-}
-
-// feeder returns the VM to ask for changes, see [State.source].
-func (n *Node) feeder() (Member, bool) {
-	st := n.State()
-	if st == nil || n.cfg.Feed == nil {
-		return Member{}, false
-	}
-	now := time.Now()
-	return st.source(n.cfg.Self, func(vm jdaw.VMID) bool { return now.Before(n.avoided[vm]) })
-}
-
-// pause returns the time between two watches.
-func (n *Node) pause() time.Duration {
-	st := n.State()
-	if st == nil {
-		return 0
-	}
-	pause := st.pause(time.Now(), n.cfg.ApplyWithin)
-	if n.isFeeder() {
-		pause = min(pause, feederPause)
-	}
-	return pause
-}
-
-// pause returns the time after which the next changes must be read. The last
-// steps of a roll-out follow each other quickly, and a judge that reads the
-// counts late adds to what a bad version gets.
-func (s *State) pause(at time.Time, applyWithin time.Duration) time.Duration {
-	pause := max(applyWithin-applyMargin, time.Duration(minPauseShare*float64(applyWithin)))
-	for _, r := range s.Rollouts {
-		if r.State != RolloutRunning {
-			continue
-		}
-		if r.IsJudged {
-			return quickPause
-		}
-		pause = min(pause, max(r.Deadline().Add(-finalSteps).Sub(at), quickPause))
-	}
-	return pause
-}
-
-func (n *Node) touch() { n.contact.Store(int64(jdaw.BootTime())) }
-
-// expectWatch notes that the answer of a watch comes after a pause.
-func (n *Node) expectWatch(paused time.Duration) {
-	wait, slack := n.watchTime()
-	n.expectAnswer(paused + wait + slack)
-}
-
-// expectAnswer notes that the store's next answer comes within d.
-func (n *Node) expectAnswer(d time.Duration) { n.dueBy.Store(int64(jdaw.BootTime() + d)) }
-
 func isOwn(key string) bool { return strings.HasPrefix(key, "jdaw/") }
 
-// post turns one change into an event. lag is the longest time that it may have
-// lain in the store.
-func (n *Node) post(c jdaw.Change, lag time.Duration) {
-	decode := n.cfg.Decoder.DecodeChange
-	if isOwn(c.Key) {
-		decode = decodeOwn
-	}
-	ev, err := decode(c)
-	if err != nil {
-		n.cfg.Log.WithError(err).WithField("key", c.Key).Warn("entry ignored: it cannot be read")
-		return
-	}
-	if order, ok := ev.(RolloutOrdered); ok {
-		order.Lag = lag
-		n.cfg.Log.WithFields(logrus.Fields{
-			"service": order.Service, "version": order.Version, "revision": order.Revision,
-			"removed": order.Removed, "lagMs": lag.Milliseconds(),
-		}).Info("roll-out ordered")
-		ev = order
-	}
-	if ev != nil {
-		n.cfg.Post(ev)
-	}
-}
-
 // decodeOwn reads the keys that VMs of this system write.
 func decodeOwn(c jdaw.Change) (jdaw.Event, error) {
 	switch {
@@ -479,10 +230,16 @@
 // register keeps the VM's entry alive until the drain.
 func (n *Node) register() {
 	lease := ""
+	hasFailed := false
 	for {
-		if err := n.renew(&lease); err != nil && n.ctx.Err() == nil {
+		err := n.renew(&lease)
+		switch {
+		case err != nil && n.ctx.Err() == nil:
 			n.cfg.Log.WithError(err).Warn("registration not renewed")
+		case hasFailed:
+			n.storeAnswers()
 		}
+		hasFailed = err != nil
 		t := time.NewTimer(renewEvery)
 		select {
 		case <-n.ctx.Done():
--- a/fleet/node_test.go
+++ b/fleet/node_test.go
@@ -20,6 +20,19 @@
 	isDown  bool
 	changes []jdaw.Change
 	read    uint64 // revision of the last change that was read
+	loads   int    // reads of everything
+}
+
+func (s *quietStore) setDown(isDown bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDown = isDown
+}
+
+func (s *quietStore) loadCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loads
 }
 
 func (s *quietStore) add(c jdaw.Change) {
@@ -58,7 +71,12 @@
 	return nil
 }
 
-func (s *quietStore) Load(context.Context) ([]jdaw.Change, uint64, error) { return nil, 1, s.fail() }
+func (s *quietStore) Load(context.Context) ([]jdaw.Change, uint64, error) {
+	s.mu.Lock()
+	s.loads++
+	s.mu.Unlock()
+	return nil, 1, s.fail()
+}
 
 func (s *quietStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]jdaw.Change, uint64, error) {
 	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
@@ -84,7 +102,7 @@
 // hungFeed asks VMs that never answer.
 type hungFeed struct{}
 
-func (hungFeed) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]jdaw.Change, uint64, error) {
+func (hungFeed) Changes(ctx context.Context, _ string, _ jdaw.FeedRequest) ([]jdaw.Change, uint64, error) {
 	<-ctx.Done()
 	return nil, 0, ctx.Err()
 }
@@ -139,9 +157,7 @@
 			t.Fatalf("not current %s after the last answer of a store without changes", n.Silence())
 		}
 	}
-	store.mu.Lock()
-	store.isDown = true
-	store.mu.Unlock()
+	store.setDown(true)
 	time.Sleep(500 * time.Millisecond)
 	if n.IsCurrent() {
 		t.Error("current without the store")
--- a/fleet/source.go
+++ b/fleet/source.go
@@ -8,8 +8,9 @@
 
 const (
 	// feeders is the number of VMs of a data centre that read the store for the
-	// others of it.
-	feeders = 3
+	// others of it. When one fails, the other takes its VMs; with one alone, its
+	// loss would send all VMs of the data centre to the store.
+	feeders = 2
 	// minFed is the number of VMs of a data centre from which on some of them
 	// read for the others. In a smaller one it would save few calls.
 	minFed = 9
@@ -82,3 +83,30 @@
 	}
 	return Member{}, false
 }
+
+// readers returns the other VMs that most likely read the store, in an order of
+// this VM's own. A VM that the store turns away asks them.
+func (s *State) readers(self Member, isAvoided func(jdaw.VMID) bool) []Member {
+	byVM := map[jdaw.VMID]Member{}
+	var vms []jdaw.VMID
+	hasFeeders, isFeeder := map[jdaw.DataCentre]bool{}, map[jdaw.VMID]bool{}
+	for _, m := range s.Members {
+		if _, ok := hasFeeders[m.DataCentre]; !ok {
+			list := s.feedersOf(m.DataCentre)
+			hasFeeders[m.DataCentre] = len(list) > 0
+			for _, f := range list {
+				isFeeder[f.VM] = true
+			}
+		}
+		if m.VM == self.VM || m.Peers == "" || isAvoided(m.VM) || hasFeeders[m.DataCentre] && !isFeeder[m.VM] {
+			continue
+		}
+		byVM[m.VM] = m
+		vms = append(vms, m.VM)
+	}
+	list := make([]Member, 0, len(vms))
+	for _, vm := range jdaw.Rendezvous("readers/"+string(self.VM), vms) {
+		list = append(list, byVM[vm])
+	}
+	return list
+}
--- a/gate/process.go
+++ b/gate/process.go
@@ -101,7 +101,7 @@
 		},
 		Tick: tick,
 	})
-	p.feed = feed.New(feed.Config{IsCurrent: func() bool { return p.node.IsCurrent() }})
+	p.feed = feed.New(feed.Config{IsCurrent: func() bool { return p.node.ReadsStore() }})
 	self := fleet.Member{
 		VM: s.VM, DataCentre: s.DataCentre, Region: s.Region, Address: s.Listen.Callers, Peers: s.Listen.Peers,
 		Start: time.Now().UTC().Format("150405.000000"),
--- a/store.go
+++ b/store.go
@@ -79,11 +79,19 @@
 // asked: these changes alone must be read from the store.
 var ErrReadStore = errors.New("the changes must be read from the store")
 
+// FeedRequest asks a VM for changes.
+type FeedRequest struct {
+	After uint64        // revision
+	Wait  time.Duration // at most
+	// IsAnySize asks for changes that are better read from the store as well.
+	IsAnySize bool
+}
+
 // ChangeFeed passes changes of a [ChangeStore] on between VMs.
 type ChangeFeed interface {
 	// Changes asks the VM at an address as [ChangeStore] is asked. It fails if
 	// that VM does not read the store in time itself.
-	Changes(ctx context.Context, address string, after uint64, wait time.Duration) ([]Change, uint64, error)
+	Changes(ctx context.Context, address string, q FeedRequest) ([]Change, uint64, error)
 	// Restart forgets what was added; changes after the revision follow.
 	Restart(revision uint64)
 	// Add offers changes to other VMs; next is the revision to go on from.
