Narrow the age of a roll-out's order by the start of its upstreams

The store's watches heard nothing for 3 s, the order was read 2.8 s late, and half of the possible 3.4 s counted as its age.

Change: the order was written in a span that ends when it was read, or when the first upstream of its version started; the middle of the span counts as its start. Starts outside the span, by a clock that was set or of an upstream that ran before, say nothing.

Ruled out: the revisions around the order (tried earlier; heartbeats do not change them), and its longest possible age (a last step that is 0.7 s longer).

Test: TestStartOfARolloutThatIsReadLate failed before in its two cases with upstreams.

--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -151,6 +151,9 @@
 		u.ColdUntil = at.Add(u.Cold + coldMargin)
 	}
 	m.upstreams[u.ID] = &u
+	if r := m.rollouts[u.Service]; r != nil {
+		r.upstreamStarted(at, &u)
+	}
 	m.dirty = true
 }
 
--- a/fleet/machine_test.go
+++ b/fleet/machine_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
@@ -179,6 +180,48 @@
 	}
 }
 
+// Guards against a good version that misses its deadline because its order was
+// read seconds late: on scale-1 of the users' large deployment the store's watches
+// heard nothing for 3 s, half of which passed for the order's age. The upstreams
+// of the new version tell more. A clock that was set must not move the start out
+// of the time in which the order can have been written.
+func TestStartOfARolloutThatIsReadLate(t *testing.T) {
+	const lag = 3 * time.Second
+	cases := map[string]struct {
+		ages       []time.Duration // of the upstreams of the new version
+		seenBefore bool            // than the order
+		want       time.Duration   // age of the order
+	}{
+		"no upstream yet":             {nil, false, lag / 2},
+		"upstreams after the order":   {[]time.Duration{2 * time.Second, 2400 * time.Millisecond, time.Second}, false, 2700 * time.Millisecond},
+		"upstreams before it":         {[]time.Duration{2400 * time.Millisecond}, true, 2700 * time.Millisecond},
+		"one that ran before":         {[]time.Duration{time.Minute}, false, lag / 2},
+		"this VM's clock is too fast": {[]time.Duration{2*time.Second + time.Minute}, false, lag / 2},
+		"this VM's clock is too slow": {[]time.Duration{2*time.Second - time.Minute}, false, lag / 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := newTestMachine("a", "a")
+			m.Handle(start, seen("u1", "v1", 5))
+			order := RolloutOrdered{Service: service, Version: "v2", Duration: 20 * time.Second, Revision: 10, Lag: lag}
+			if !c.seenBefore {
+				m.Handle(start, order)
+			}
+			for i, age := range c.ages {
+				u := seen(jdaw.UpstreamID(fmt.Sprint("n", i)), "v2", uint64(11+i))
+				u.Upstream.Born = start.Add(-age).UnixMilli()
+				m.Handle(start, u)
+			}
+			if c.seenBefore {
+				m.Handle(start, order)
+			}
+			if got := start.Sub(m.rollouts[service].StartedAt); got.Round(time.Millisecond) != c.want {
+				t.Errorf("the order counts as %s old, want %s", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a bad version whose fault does not show and that gets more
 // than the exposure that is allowed until the deadline.
 func TestExposureOfAnUndetectedVersion(t *testing.T) {
--- a/fleet/rollout.go
+++ b/fleet/rollout.go
@@ -87,6 +87,29 @@
 	askedAt    time.Time
 	isReviewed bool   // the guard was asked whether it may complete
 	reportedAt uint64 // revision of the last report
+	// The order was written after notBefore, and before notAfter.
+	notBefore, notAfter time.Time
+}
+
+// ordered notes the span in which the order was written. Its middle counts as
+// the start.
+func (r *rollout) ordered(notBefore, notAfter time.Time) {
+	r.notBefore, r.notAfter = notBefore, notAfter
+	r.StartedAt = notBefore.Add(notAfter.Sub(notBefore) / 2)
+}
+
+// upstreamStarted narrows the span: the upstreams of the new version are started
+// after the order. While the store's watches hear nothing, an order is read up to
+// 3.5 s late, and half of that is a deadline missed by a second. The start of an
+// upstream is by another clock, so it counts within the span only.
+func (r *rollout) upstreamStarted(at time.Time, u *Upstream) {
+	if u.Service != r.Service || u.Version != r.Version || u.Born == 0 || r.State != RolloutRunning {
+		return
+	}
+	started := at.Add(-time.Duration(at.UnixMilli()-u.Born) * time.Millisecond)
+	if started.After(r.notBefore) && started.Before(r.notAfter) {
+		r.ordered(r.notBefore, started)
+	}
 }
 
 // StepSeen is the step that the judge has written.
@@ -146,7 +169,7 @@
 	// Half of the longest time that the order may have lain in the store is the
 	// best guess: the steps end early enough for the other half, and with all of
 	// it the last step was 0.7 s longer.
-	started := at.Add(-ev.Lag / 2)
+	notBefore := at.Add(-ev.Lag)
 	r := m.rollouts[ev.Service]
 	if ev.Removed {
 		// The version keeps its last state: without the order, an undecided
@@ -165,14 +188,19 @@
 	}
 	if r != nil && r.Order == 0 && r.Version == ev.Version && r.reportedAt > ev.Revision {
 		// The report of this order was read first.
-		r.Order, r.Duration, r.StartedAt = ev.Revision, ev.Duration, started
+		r.Order, r.Duration = ev.Revision, ev.Duration
+		r.ordered(notBefore, at)
 		return
 	}
-	m.rollouts[ev.Service] = &rollout{Rollout: Rollout{
+	r = &rollout{Rollout: Rollout{
 		Service: ev.Service, Version: ev.Version, State: RolloutRunning,
-		Share: steps[0].share, SessionShare: steps[0].session,
-		Order: ev.Revision, StartedAt: started, Duration: ev.Duration,
+		Share: steps[0].share, SessionShare: steps[0].session, Order: ev.Revision, Duration: ev.Duration,
 	}}
+	r.ordered(notBefore, at)
+	for _, u := range m.upstreams {
+		r.upstreamStarted(at, u)
+	}
+	m.rollouts[ev.Service] = r
 	m.dirty = true
 }
 
