Pass bursts of changes on in parts

Change: a feeder replies with as many whole writes as fit, and the VM goes on after them. Only a single write that does not fit is left to the store.

Ruled out: one reply deflated as a whole; it would be deflated anew for each VM, as VMs go on from different revisions.

Test: TestManyChangesComeInParts failed before.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -125,11 +125,15 @@
 		changes, next, isKept, added := f.after(q.GetAfter())
 		reply := &wire.StoreChangesReply{Revision: next, Current: f.cfg.IsCurrent(), Gone: !isKept}
 		if len(changes) > 0 || !isKept || !reply.Current || isOver {
-			if !q.GetAnySize() && isLarge(changes) {
-				reply.Large = true
-				return reply, nil
+			n := len(changes)
+			if !q.GetAnySize() {
+				n = fitting(changes)
 			}
-			for _, c := range changes {
+			if n < len(changes) {
+				reply.Large = n == 0
+				reply.Revision = lastRevision(changes[:n], q.GetAfter())
+			}
+			for _, c := range changes[:n] {
 				reply.Changes = append(reply.Changes, c.encode())
 			}
 			return reply, nil
@@ -144,13 +148,28 @@
 	}
 }
 
-func isLarge(changes []*kept) bool {
-	size := 0
-	for _, c := range changes {
+// fitting returns the number of changes, of whole writes, that fit in one reply.
+// The asker goes on after them. It is 0 if the first write does not fit.
+func fitting(changes []*kept) int {
+	size, whole := 0, 0
+	for i, c := range changes {
+		if i > 0 && c.Revision != changes[i-1].Revision {
+			whole = i
+		}
 		value, _ := c.sent()
 		size += len(value)
+		if size > maxReplyBytes {
+			return whole
+		}
+	}
+	return len(changes)
+}
+
+func lastRevision(changes []*kept, before uint64) uint64 {
+	if len(changes) == 0 {
+		return before
 	}
-	return size > maxReplyBytes
+	return changes[len(changes)-1].Revision
 }
 
 // WriteStore implements [wire.FeedServer].
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -118,6 +118,38 @@
 	}
 }
 
+// Guards against a burst of small changes, as when many upstreams start at once,
+// that all VMs read from the store because it does not fit in one reply; against a
+// write that is cut in two, the second part of which would be lost.
+func TestManyChangesComeInParts(t *testing.T) {
+	f, addr, _ := startFeed(t, 0)
+	f.Restart(10)
+	const writes = 100
+	var all []jdaw.Change
+	for i := range writes {
+		for _, key := range []string{"a", "b"} { // of one write
+			all = append(all, jdaw.Change{Key: key, Value: noise(maxReplyBytes / 30), Revision: uint64(11 + i)})
+		}
+	}
+	f.Add(all, 10+writes)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	got, at, replies := 0, uint64(10), 0
+	for at < 10+writes {
+		changes, next, err := f.Changes(ctx, addr, jdaw.FeedRequest{After: at, Wait: time.Second})
+		if err != nil || next <= at {
+			t.Fatalf("after %d: %d changes, go on from %d, %v", at, len(changes), next, err)
+		}
+		if len(changes)%2 != 0 {
+			t.Fatalf("after %d: %d changes of writes that have two", at, len(changes))
+		}
+		got, at, replies = got+len(changes), next, replies+1
+	}
+	if got != len(all) || replies < 5 {
+		t.Errorf("%d changes in %d replies, want %d", got, replies, len(all))
+	}
+}
+
 // writer notes what it is asked to write.
 type writer struct {
 	taken   []jdaw.Entry
