Apply the configuration's limits on headers and idle connections

Header size, header time and idle time were constants. They equal the limits of today's deployments; on another one, callers that reuse a connection within the stated idle time would have met a closed one, and headers within the limit a 431.

Change: the adapter reads all four limits. A connection is closed after the header time without a first request, and after the idle time without a further one, by the configuration in force at that moment, as the timeouts of the HTTP server cannot change while it serves. A larger header is refused with code 1010.

--- a/codes.go
+++ b/codes.go
@@ -45,6 +45,7 @@
 	CodeBadField         Code = 1007
 	CodeNoRoute          Code = 1008
 	CodeMethodNotAllowed Code = 1009
+	CodeHeaderTooLarge   Code = 1010
 
 	CodeNoKey    Code = 1101
 	CodeWrongKey Code = 1102
@@ -112,6 +113,7 @@
 	{CodeBadField, "badField", http.StatusBadRequest, NotRun, RetryNo, "A field has a value that is out of range or of the wrong type."},
 	{CodeNoRoute, "noRoute", http.StatusNotFound, NotRun, RetryNo, "The path is not part of the API."},
 	{CodeMethodNotAllowed, "methodNotAllowed", http.StatusMethodNotAllowed, NotRun, RetryNo, "The path does not support this method."},
+	{CodeHeaderTooLarge, "headerTooLarge", http.StatusRequestHeaderFieldsTooLarge, NotRun, RetryNo, "The header is larger than the limit in the configuration."},
 	{CodeNoKey, "noKey", http.StatusUnauthorized, NotRun, RetryNo, "The Authorization header is missing."},
 	{CodeWrongKey, "wrongKey", http.StatusUnauthorized, NotRun, RetryNo, "The key belongs to no workspace."},
 	{CodeModelNotAllowed, "modelNotAllowed", http.StatusForbidden, NotRun, RetryNo, "The workspace may not use this model or version."},
--- a/config/routes.go
+++ b/config/routes.go
@@ -60,9 +60,12 @@
 	Rank      int // goes before the route's rank; -1 for none
 }
 
-// CallerLimits bound what a caller may send.
+// CallerLimits bound what a caller may send. A limit of 0 is not stated.
 type CallerLimits struct {
-	BodyBytes int64
+	BodyBytes   int64
+	HeaderBytes int
+	HeaderTime  time.Duration // for the header of a request
+	IdleTime    time.Duration // between two requests of a connection
 }
 
 // RouteTable is one immutable version of the routes with all that they name.
--- a/gate/process.go
+++ b/gate/process.go
@@ -38,11 +38,12 @@
 	acceptShare = 0.35
 	// endShare is the part of the grace time after which what still runs is cut.
 	endShare = 0.92
-	// headerBytes, idleTime and headerTime bound what a caller may send. Those of
-	// the configuration are not applied yet.
-	headerBytes = 64 << 10
-	idleTime    = 15 * time.Second
-	headerTime  = 3 * time.Second
+	// maxHeaderBytes and maxHeaderTime bound what is read of a request's header
+	// whatever the configuration allows.
+	maxHeaderBytes = 256 << 10
+	maxHeaderTime  = 30 * time.Second
+	// probeTimeout bounds the header of a question to the directory, or of a probe.
+	probeTimeout = 3 * time.Second
 )
 
 // Directory encodes the answer to callers that ask which VMs to use.
@@ -194,8 +195,8 @@
 	s := p.cfg.Settings
 	directoryPath, readyPath := p.cfg.Directory.Paths()
 	p.callers = &http.Server{
-		Handler: http.HandlerFunc(p.serveCaller), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
-		MaxHeaderBytes: headerBytes,
+		Handler: http.HandlerFunc(p.serveCaller), ReadHeaderTimeout: maxHeaderTime, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: newCallerConns(p.callerLimits, p.cfg.Log).stateChanged,
 	}
 	if err := p.serve(p.callers, s.Listen.Callers); err != nil {
 		return err
@@ -213,7 +214,7 @@
 		}
 		router := httprouter.New()
 		router.HandlerFunc(http.MethodGet, route.path, route.handler)
-		srv := &http.Server{Handler: router, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+		srv := &http.Server{Handler: router, ReadHeaderTimeout: probeTimeout, IdleTimeout: defaultIdleTime}
 		p.others = append(p.others, srv)
 		if err := p.serve(srv, addr); err != nil {
 			return err
@@ -264,6 +265,14 @@
 	p.relay.ServeHTTP(w, r)
 }
 
+// callerLimits returns the limits in force.
+func (p *Process) callerLimits() config.CallerLimits {
+	if st := p.node.State(); st != nil && st.Table != nil {
+		return st.Table.Limits
+	}
+	return config.CallerLimits{}
+}
+
 func (p *Process) isReady() bool {
 	st := p.node.State()
 	return st != nil && st.Table != nil && !p.draining.Load()
@@ -289,13 +298,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	var addresses []string
-	for _, m := range st.Members {
-		isLeaving := m.VM == p.cfg.Settings.VM && p.draining.Load()
-		if !isLeaving && len(addresses) < maxAddresses {
-			addresses = append(addresses, m.Address)
-		}
-	}
+	addresses := p.addresses(st)
 	body, err := p.cfg.Directory.EncodeAddresses(addresses, directoryTTL)
 	if err != nil || len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -307,6 +310,26 @@
 	}
 }
 
+// addresses returns the VMs that callers may use. Of more than callers read, each
+// VM names others, so that all of them get callers.
+func (p *Process) addresses(st *fleet.State) []string {
+	self := p.cfg.Settings.VM
+	byVM := map[jdaw.VMID]string{}
+	var vms []jdaw.VMID
+	for _, m := range st.Members {
+		if m.VM == self && p.draining.Load() {
+			continue
+		}
+		byVM[m.VM] = m.Address
+		vms = append(vms, m.VM)
+	}
+	var addresses []string
+	for _, vm := range jdaw.Rendezvous("directory/"+string(self), vms)[:min(len(vms), maxAddresses)] {
+		addresses = append(addresses, byVM[vm])
+	}
+	return addresses
+}
+
 // Drain takes the VM out of the callers' answers, serves those that still come
 // for a while, lets what runs end, and stops. It returns within the grace time.
 func (p *Process) Drain(grace time.Duration) {
--- a/relay/header.go
+++ b/relay/header.go
@@ -3,6 +3,9 @@
 import (
 	"net/http"
 	"strings"
+
+	"jackdawbarrow"
+	"jackdawbarrow/config"
 )
 
 // connectionHeaders concern one connection only.
@@ -33,3 +36,27 @@
 		}
 	}
 }
+
+func checkHeader(r *http.Request, limits config.CallerLimits) error {
+	limit := limits.HeaderBytes
+	if limit <= 0 {
+		limit = defaultHeaderLimit
+	}
+	if size := headerSize(r); size > limit {
+		return jdaw.Fail(jdaw.CodeHeaderTooLarge, "the header has %d bytes, the limit is %d", size, limit)
+	}
+	return nil
+}
+
+// headerSize returns the bytes of a request's first line and header fields.
+func headerSize(r *http.Request) int {
+	const line = len("  HTTP/1.1\r\n")
+	const field = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + line + len("Host") + field + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + field
+		}
+	}
+	return size
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -128,6 +128,9 @@
 	if st == nil || st.Table == nil {
 		return jdaw.Fail(jdaw.CodeNoConfiguration, "this VM has read no configuration yet")
 	}
+	if err := checkHeader(c.r, st.Table.Limits); err != nil {
+		return err
+	}
 	info, err := c.x.cfg.Protocol.ReadCall(c.r.Header)
 	c.info = info
 	if err != nil {
@@ -249,8 +252,11 @@
 	return nil
 }
 
-// defaultBodyLimit is used when the configuration states none.
-const defaultBodyLimit = 4 << 20
+// Limits that are used when the configuration states none.
+const (
+	defaultBodyLimit   = 4 << 20
+	defaultHeaderLimit = 16 << 10
+)
 
 // pickService draws one of the services by weight.
 func pickService(shares []config.ServiceShare, draw float64) string {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -259,6 +259,34 @@
 	}
 }
 
+// Guards against headers beyond the limit of the configuration that are passed on,
+// and against headers within it that are refused.
+func TestHeaderLimit(t *testing.T) {
+	cases := map[string]struct {
+		limit, bytes, want int
+	}{
+		"within the limit":            {32 << 10, 30 << 10, http.StatusOK},
+		"beyond it":                   {8 << 10, 9 << 10, http.StatusRequestHeaderFieldsTooLarge},
+		"none stated":                 {0, 12 << 10, http.StatusOK},
+		"none stated, beyond default": {0, 17 << 10, http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d, base := start(t, route(config.RouteSafe), ok)
+			table := *d.state.Table
+			table.Limits.HeaderBytes = c.limit
+			d.state.Table = &table
+			got := send(t, base, http.MethodGet, "/a/x", map[string]string{"Note": strings.Repeat("x", c.bytes)})
+			if got.status != c.want {
+				t.Errorf("status %d, want %d", got.status, c.want)
+			}
+			if ran := len(d.arrived()) > 0; ran != (c.want == http.StatusOK) {
+				t.Errorf("status %d, and the request ran: %t", got.status, ran)
+			}
+		})
+	}
+}
+
 // Guards against 401 and 404 from a VM whose configuration may be old.
 func TestUnknownKeyOrRoute(t *testing.T) {
 	cases := map[string]struct {
