Go on feeding VMs when the store has forgotten its history

Change: a VM keeps the revisions of all keys, and passes on what leads from them to what a full read shows. Keys that changed after the read's revision come with the next watch.

Ruled out: leaving the VMs without the removals of that time, as they would keep upstreams that have left.

Tests: TestChangesSince, TestFeedGoesOnWhenHistoryIsGone.

--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -134,11 +135,59 @@
 	}
 	n.cfg.Post(Synced{Reloaded: true})
 	if n.cfg.Feed != nil {
-		n.cfg.Feed.Restart(rev)
+		n.feedReload(items, rev)
 	}
 	return rev, nil
 }
 
+// feedReload passes on what everything that was read shows of the changes since
+// the last ones. When the store forgets its history, the VMs that this one feeds
+// then go on without reading everything themselves.
+func (n *Node) feedReload(items []jdaw.Change, rev uint64) {
+	before := n.known
+	n.known = make(map[string]uint64, len(items))
+	for _, c := range items {
+		n.known[c.Key] = c.Revision
+	}
+	if before == nil {
+		n.cfg.Feed.Restart(rev)
+		return
+	}
+	n.cfg.Feed.Add(changesSince(before, items, rev), rev)
+}
+
+// changesSince returns the changes up to a revision that lead from the known keys
+// to the items. Later ones are read again after that revision.
+func changesSince(known map[string]uint64, items []jdaw.Change, rev uint64) []jdaw.Change {
+	var changes []jdaw.Change
+	isThere := make(map[string]bool, len(items))
+	for _, c := range items {
+		isThere[c.Key] = true
+		if c.Revision > known[c.Key] && c.Revision <= rev {
+			changes = append(changes, c)
+		}
+	}
+	sort.Slice(changes, func(i, j int) bool { return changes[i].Revision < changes[j].Revision })
+	for key := range known {
+		if !isThere[key] {
+			changes = append(changes, jdaw.Change{Key: key, Revision: rev, Removed: true})
+		}
+	}
+	return changes
+}
+
+// feed passes changes on to other VMs.
+func (n *Node) feed(b batch, rev uint64) {
+	for _, c := range b.changes {
+		if c.Removed {
+			delete(n.known, c.Key)
+		} else {
+			n.known[c.Key] = c.Revision
+		}
+	}
+	n.cfg.Feed.Add(b.changes, rev)
+}
+
 // followFrom posts changes until calls fail twice in a row: one failure may be
 // that of a connection.
 func (n *Node) followFrom(rev uint64) error {
@@ -176,7 +225,7 @@
 			n.cfg.Post(Synced{})
 		}
 		if n.cfg.Feed != nil {
-			n.cfg.Feed.Add(b.changes, rev)
+			n.feed(b, rev)
 		}
 		switch {
 		case b.isFed:
--- a/fleet/follow_test.go
+++ b/fleet/follow_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"reflect"
+	"sync"
 	"testing"
 	"time"
 
@@ -82,6 +84,71 @@
 	eventually(t, renewEvery+500*time.Millisecond, "the store is read", n.ReadsStore)
 }
 
+// Guards against all VMs of a data centre reading everything, because the store
+// has forgotten its history and the VM that feeds them has read everything anew:
+// what that VM passes on must lead from what they know to what is there, without a
+// change that is read again afterwards.
+func TestChangesSince(t *testing.T) {
+	items := []jdaw.Change{
+		{Key: "same", Value: []byte("1"), Revision: 3},
+		{Key: "newer", Value: []byte("2"), Revision: 9},
+		{Key: "new", Value: []byte("3"), Revision: 7},
+		{Key: "later", Value: []byte("4"), Revision: 12}, // of a page that was read later
+	}
+	known := map[string]uint64{"same": 3, "newer": 5, "later": 2, "gone": 4}
+	got := changesSince(known, items, 10)
+	want := []jdaw.Change{items[2], items[1], {Key: "gone", Revision: 10, Removed: true}}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// collectingFeed keeps what a VM passes on.
+type collectingFeed struct {
+	hungFeed
+	mu       sync.Mutex
+	restarts int
+	changes  []jdaw.Change
+}
+
+func (f *collectingFeed) Restart(uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restarts++
+}
+
+func (f *collectingFeed) Add(changes []jdaw.Change, _ uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.changes = append(f.changes, changes...)
+}
+
+// Guards against a feeder that starts anew for the VMs that it feeds when the
+// store has forgotten its history.
+func TestFeedGoesOnWhenHistoryIsGone(t *testing.T) {
+	store, feed := &quietStore{}, &collectingFeed{}
+	store.items = []jdaw.Change{{Key: "a", Revision: 1}, {Key: "b", Revision: 1}}
+	n := New(Config{
+		Self: Member{VM: "vm1"}, Store: store, Feed: feed, Decoder: noEntries{}, Post: func(jdaw.Event) {}, Log: quietLog(),
+		ApplyWithin: 100 * time.Millisecond,
+	})
+	defer n.Close()
+	eventually(t, time.Second, "the store is read", func() bool { return store.loadCount() == 1 })
+	store.mu.Lock()
+	store.items, store.isHistoryGone, store.revision = []jdaw.Change{{Key: "a", Revision: 1}, {Key: "c", Revision: 6}}, true, 6
+	store.mu.Unlock()
+	eventually(t, 5*time.Second, "the changes are passed on", func() bool {
+		feed.mu.Lock()
+		defer feed.mu.Unlock()
+		return len(feed.changes) == 2 && feed.changes[0].Key == "c" && feed.changes[1].Key == "b" && feed.changes[1].Removed
+	})
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	if feed.restarts != 1 {
+		t.Errorf("the feed started %d times, want once", feed.restarts)
+	}
+}
+
 // Guards against a VM that asks itself, one that asks VMs which do not read the
 // store, and against all VMs asking the same one.
 func TestReaders(t *testing.T) {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -70,11 +70,12 @@
 
 	mu     sync.Mutex
 	counts map[jdaw.ModelVersion]guard.Counts
-	// avoided are feeders that failed, until when, and lostAt is the time, by
-	// BootTime, since which the store does not answer; 0 while it does. Only the
-	// follower uses them.
+	// avoided are feeders that failed, until when; lostAt is the time, by BootTime,
+	// since which the store does not answer, 0 while it does; known are the
+	// revisions of all keys. Only the follower uses them.
 	avoided map[jdaw.VMID]time.Time
 	lostAt  time.Duration
+	known   map[string]uint64
 	failed  chan struct{}              // a failure waits to be shared
 	stale   map[jdaw.ModelVersion]bool // counts that were not shared yet
 	// taken are entries that this VM writes for others, with its own next counts.
--- a/fleet/node_test.go
+++ b/fleet/node_test.go
@@ -23,6 +23,11 @@
 	read    uint64         // revision of the last change that was read
 	loads   int            // reads of everything
 	puts    [][]jdaw.Entry // without the VM's own entry
+	// items and revision are what a read of everything returns. It makes the
+	// store forget that its history is gone.
+	items         []jdaw.Change
+	revision      uint64
+	isHistoryGone bool
 }
 
 func (s *quietStore) setDown(isDown bool) {
@@ -86,11 +91,23 @@
 	return nil
 }
 
+func (s *quietStore) hasNoHistory() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isHistoryGone
+}
+
 func (s *quietStore) Load(context.Context) ([]jdaw.Change, uint64, error) {
 	s.mu.Lock()
 	s.loads++
 	s.mu.Unlock()
-	return nil, 1, s.fail()
+	if err := s.fail(); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isHistoryGone = false
+	return s.items, max(s.revision, 1), nil
 }
 
 func (s *quietStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]jdaw.Change, uint64, error) {
@@ -98,6 +115,9 @@
 		if err := s.fail(); err != nil {
 			return nil, 0, err
 		}
+		if s.hasNoHistory() {
+			return nil, 0, jdaw.ErrHistoryGone
+		}
 		if list := s.after(after); len(list) > 0 {
 			return list, list[len(list)-1].Revision, nil
 		}
