Ask the store again when no other VM passes its changes on

Now the store is avoided only while another VM passes changes on. Entries that a VM has taken for others are handed on if it is no longer the one that writes.

Test: TestOneFailedWatch failed before.

--- a/fleet/counts.go
+++ b/fleet/counts.go
@@ -20,6 +20,9 @@
 	lateSpeedEvery = 400 * time.Millisecond
 	// maxReporters bounds the VMs that share successes and speeds.
 	maxReporters = 10
+	// handOverTimeout bounds the call that hands counts to another VM of the data
+	// centre, which answers within a millisecond.
+	handOverTimeout = 200 * time.Millisecond
 )
 
 // Outcome is the result of one request during a roll-out.
@@ -104,8 +107,12 @@
 // writes those of all its VMs in one call. Near the end of a roll-out the counts
 // are urgent, and each VM writes its own.
 func (n *Node) shareCounts(entries []jdaw.Entry) {
-	if feeder, ok := n.handsOver(); ok && len(entries) > 0 {
-		ctx, cancel := context.WithTimeout(n.ctx, feedSlack)
+	entries = append(entries, n.takeTaken()...)
+	if len(entries) == 0 {
+		return
+	}
+	if feeder, ok := n.handsOver(); ok {
+		ctx, cancel := context.WithTimeout(n.ctx, handOverTimeout)
 		err := n.cfg.Feed.Write(ctx, feeder.Peers, entries)
 		cancel()
 		if err == nil {
@@ -113,7 +120,7 @@
 		}
 		n.cfg.Log.WithError(err).WithField("feeder", feeder.VM).Info("feeder takes no counts; they are written to the store")
 	}
-	n.putAll(append(entries, n.takeTaken()...))
+	n.putAll(entries)
 }
 
 // handsOver returns the VM that writes the counts of this one.
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -271,14 +271,20 @@
 			return b, err
 		}
 		n.expectAnswer(0)
-		n.avoidUntil.Store(int64(jdaw.BootTime() + avoidStore))
 	}
 	for _, reader := range n.readers() {
-		if b, askErr := n.ask(reader, rev, true); askErr == nil {
-			n.lost(err)
-			return b, nil
+		b, askErr := n.ask(reader, rev, true)
+		if askErr != nil {
+			continue
 		}
+		if !errors.Is(err, errNoReader) { // the store was asked
+			n.avoidUntil.Store(int64(jdaw.BootTime() + avoidStore))
+		}
+		n.lost(err)
+		return b, nil
 	}
+	// Without a reader the store is asked again, whatever it did before.
+	n.avoidUntil.Store(0)
 	return batch{}, err
 }
 
--- a/fleet/follow_test.go
+++ b/fleet/follow_test.go
@@ -69,6 +69,27 @@
 	eventually(t, renewEvery+watchWait, "the store is read again", n.ReadsStore)
 }
 
+// Guards against a VM without others that reads everything again and again, or
+// loses the store for seconds, because one watch has failed.
+func TestOneFailedWatch(t *testing.T) {
+	store := &quietStore{}
+	n := New(Config{
+		Self: Member{VM: "vm1"}, Store: store, Feed: &collectingFeed{}, Decoder: noEntries{}, Post: func(jdaw.Event) {}, Log: quietLog(),
+		ApplyWithin: 100 * time.Millisecond,
+	})
+	defer n.Close()
+	eventually(t, time.Second, "the store is read", n.ReadsStore)
+	time.Sleep(200 * time.Millisecond)
+	store.setDown(true)
+	eventually(t, time.Second, "the watch has failed", func() bool { return !n.ReadsStore() })
+	store.setDown(false)
+	store.add(jdaw.Change{Key: "k", Revision: 2})
+	eventually(t, time.Second, "a change is read", func() bool { return store.wasReadAfter(2) && n.ReadsStore() })
+	if loads := store.loadCount(); loads > 2 {
+		t.Errorf("everything was read %d times", loads)
+	}
+}
+
 // Guards against reads of everything that a store which is away refuses, one in
 // 0.8 s and VM, and against a VM that notices the store's return late.
 func TestReturnOfTheStore(t *testing.T) {
