--- a/feed/doc.go
+++ b/feed/doc.go
@@ -1,16 +1,21 @@
 // Package feed passes the changes of the platform's store on from one VM to
-// others, so that not every VM of a large deployment has to ask the store.
+// others, so that not every VM of a large deployment has to ask the store, and so
+// that a VM which the store turns away still hears of them. VMs also write for
+// others: what several have counted in one call, and what the store does not take
+// from a VM.
 //
 // A [Feed] keeps the last changes that this VM has read and serves them over
-// gRPC; a call waits for the next ones. It also asks other VMs. Who asks whom,
-// and what happens when a VM does not answer, is decided by package fleet.
+// gRPC; a call waits for the next ones. Long values are sent deflated, and many
+// changes in several replies. It also asks other VMs. Who asks whom, and what
+// happens when a VM does not answer, is decided by package fleet.
 //
 // # Usage
 //
-//	f := feed.New(feed.Config{IsCurrent: node.ReadsStore})
+//	f := feed.New(feed.Config{IsCurrent: node.ReadsStore, Writer: func() feed.Writer { return node }})
 //	defer f.Close()
 //	wire.RegisterFeedServer(server, f)
 //	f.Restart(revision)         // after everything was read
 //	f.Add(changes, next)        // after each read of changes
 //	changes, next, err := f.Changes(ctx, "10.0.0.2:7400", jdaw.FeedRequest{After: after, Wait: time.Second})
+//	err = f.Write(ctx, "10.0.0.2:7400", entries)
 package feed
