Let the number of feeders grow with the data centre

Two feeders then serve 50 VMs each over links of 10 Mbit/s.

Change: a feeder for each 15 VMs, two at least. Data centres of up to 30 VMs keep two.

Ruled out: reading configurations from the store at every VM above a size, which costs a call of each VM.

Test: TestSource, whose bound for a feeder is now 30 VMs at any size; with two feeders it fails at 130.

--- a/fleet/follow_test.go
+++ b/fleet/follow_test.go
@@ -180,8 +180,8 @@
 		want      int // readers of each VM of oban
 	}{
 		"a small data centre":     {&State{Members: members(8, "oban")}, never, 7},
-		"two large ones":          {&State{Members: append(members(26, "oban"), members(26, "largs")...)}, never, 2 * feeders},
-		"a small and a large one": {&State{Members: append(members(3, "oban"), members(26, "largs")...)}, never, 2 + feeders},
+		"two large ones":          {&State{Members: append(members(26, "oban"), members(26, "largs")...)}, never, 2 * minFeeders},
+		"a small and a large one": {&State{Members: append(members(3, "oban"), members(26, "largs")...)}, never, 2 + minFeeders},
 		"alone":                   {&State{Members: members(1, "oban")}, never, 0},
 		"all have failed":         {&State{Members: members(8, "oban")}, func(jdaw.VMID) bool { return true }, 0},
 	}
--- a/fleet/source.go
+++ b/fleet/source.go
@@ -7,10 +7,13 @@
 )
 
 const (
-	// feeders is the number of VMs of a data centre that read the store for the
-	// others of it. When one fails, the other takes its VMs; with one alone, its
-	// loss would send all VMs of the data centre to the store.
-	feeders = 2
+	// minFeeders is the least number of VMs of a data centre that read the store
+	// for the others of it. When one fails, the other takes its VMs; with one
+	// alone, its loss would send all VMs of the data centre to the store.
+	minFeeders = 2
+	// vmsPerFeeder bounds what a feeder sends over its link: with 50 VMs at each
+	// of two, a configuration was in force after up to 3.2 s.
+	vmsPerFeeder = 15
 	// minFed is the number of VMs of a data centre from which on some of them
 	// read for the others. In a smaller one it would save few calls.
 	minFed = 9
@@ -42,12 +45,15 @@
 		return nil
 	}
 	var list []Member
-	for _, vm := range jdaw.Rendezvous("feed/"+string(dc), vms)[:feeders] {
+	for _, vm := range jdaw.Rendezvous("feed/"+string(dc), vms)[:feedersIn(len(vms))] {
 		list = append(list, local[vm])
 	}
 	return list
 }
 
+// feedersIn returns the number of feeders of a data centre of n VMs.
+func feedersIn(n int) int { return max(minFeeders, (n+vmsPerFeeder-1)/vmsPerFeeder) }
+
 // isFeeder reports whether a VM reads the store for others.
 func (s *State) isFeeder(self Member) bool {
 	for _, m := range s.feedersOf(self.DataCentre) {
--- a/fleet/source_test.go
+++ b/fleet/source_test.go
@@ -29,8 +29,8 @@
 		readers   int // VMs of largs that read the store
 	}{
 		"a small data centre":   {&State{Members: members(minFed-1, "largs")}, never, minFed - 1},
-		"a large one":           {&State{Members: append(members(26, "largs"), members(26, "oban")...)}, never, feeders},
-		"a far larger one":      {&State{Members: members(130, "largs")}, never, feeders},
+		"a large one":           {&State{Members: append(members(26, "largs"), members(26, "oban")...)}, never, 2},
+		"a far larger one":      {&State{Members: members(130, "largs")}, never, 9},
 		"no feeder answers":     {&State{Members: members(26, "largs")}, always, 26},
 		"judges read the store": {&State{Members: members(26, "largs"), Rollouts: judging}, never, 26},
 		"VMs that do not feed":  {&State{Members: []Member{{VM: "largs0", DataCentre: "largs"}}}, never, 1},
@@ -57,7 +57,7 @@
 				t.Errorf("%d VMs read the store, want %d", readers, c.readers)
 			}
 			for vm, n := range load {
-				if n > 2*len(c.st.Members)/feeders {
+				if n > 2*vmsPerFeeder {
 					t.Errorf("%s feeds %d VMs", vm, n)
 				}
 			}
