Order VMs by hash, ask readers and default limits in one place each

- Members were put into a map, ordered by rendezvous hash and taken out of it in four places; fleet.Ranked does it for feeders, sources, readers and the directory. readers no longer keeps two maps about feeders beside that.
- writers and readers of a node differed in what they avoid alone.
- Whether the store was just asked followed from the kind of an error; it is a variable now.
- Defaults of the limits on callers stood in packages relay and gate, each with its own check; CallerLimits.WithDefaults holds them.
- Three tests of package fleet set up a silent log each beside quietLog.

Ruled out: one check of the context in package owner in place of those in Node.await and Holder.take, since the one serves grants to other VMs and the other replies from them.

--- a/config/routes.go
+++ b/config/routes.go
@@ -68,6 +68,31 @@
 	IdleTime    time.Duration // between two requests of a connection
 }
 
+// Limits on callers that hold where a configuration states none.
+const (
+	defaultCallerBodyBytes   = 4 << 20
+	defaultCallerHeaderBytes = 16 << 10
+	defaultCallerHeaderTime  = 3 * time.Second
+	DefaultCallerIdleTime    = 15 * time.Second
+)
+
+// WithDefaults returns a copy in which all limits are stated.
+func (l CallerLimits) WithDefaults() CallerLimits {
+	if l.BodyBytes <= 0 {
+		l.BodyBytes = defaultCallerBodyBytes
+	}
+	if l.HeaderBytes <= 0 {
+		l.HeaderBytes = defaultCallerHeaderBytes
+	}
+	if l.HeaderTime <= 0 {
+		l.HeaderTime = defaultCallerHeaderTime
+	}
+	if l.IdleTime <= 0 {
+		l.IdleTime = DefaultCallerIdleTime
+	}
+	return l
+}
+
 // RouteTable is one immutable version of the routes with all that they name.
 type RouteTable struct {
 	Revision jdaw.Revision
--- a/fleet/counts.go
+++ b/fleet/counts.go
@@ -107,7 +107,7 @@
 // writes those of all its VMs in one call. Near the end of a roll-out the counts
 // are urgent, and each VM writes its own.
 func (n *Node) shareCounts(entries []jdaw.Entry) {
-	entries = append(entries, n.takeTaken()...)
+	entries = append(entries, n.drainTaken()...)
 	if len(entries) == 0 {
 		return
 	}
@@ -129,7 +129,7 @@
 	if st == nil || n.cfg.Feed == nil || st.hasLateRollout(time.Now()) {
 		return Member{}, false
 	}
-	return st.source(n.cfg.Self, func(jdaw.VMID) bool { return false })
+	return st.source(n.cfg.Self, neverAvoided)
 }
 
 func (n *Node) sharePeriod() time.Duration {
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -262,7 +262,8 @@
 		}
 	}
 	err := errNoReader
-	if int64(jdaw.BootTime()) >= n.avoidUntil.Load() {
+	isAsked := int64(jdaw.BootTime()) >= n.avoidUntil.Load()
+	if isAsked {
 		var b batch
 		if b, err = n.watch(rev); err == nil {
 			n.regained()
@@ -272,15 +273,15 @@
 		}
 		n.expectAnswer(0)
 	}
-	for _, reader := range n.readers() {
+	for _, reader := range n.readers(n.isAvoided) {
 		b, askErr := n.ask(reader, rev, true)
 		if askErr != nil {
 			continue
 		}
-		if !errors.Is(err, errNoReader) { // the store was asked
+		if isAsked {
 			n.avoidUntil.Store(int64(jdaw.BootTime() + avoidStore))
+			n.lost(err)
 		}
-		n.lost(err)
 		return b, nil
 	}
 	// Without a reader the store is asked again, whatever it did before.
@@ -334,18 +335,22 @@
 	return st.source(n.cfg.Self, n.isAvoided)
 }
 
-// readers returns the VMs to ask while the store does not answer.
-func (n *Node) readers() []Member {
+// readers returns the VMs that read and write for this one while the store does
+// not answer it.
+func (n *Node) readers(isAvoided func(jdaw.VMID) bool) []Member {
 	st := n.State()
 	if st == nil || n.cfg.Feed == nil {
 		return nil
 	}
-	list := st.readers(n.cfg.Self, n.isAvoided)
+	list := st.readers(n.cfg.Self, isAvoided)
 	return list[:min(len(list), maxReadersAsked)]
 }
 
+// isAvoided is the follower's to call.
 func (n *Node) isAvoided(vm jdaw.VMID) bool { return time.Now().Before(n.avoided[vm]) }
 
+func neverAvoided(jdaw.VMID) bool { return false }
+
 // pause returns the time between two watches.
 func (n *Node) pause() time.Duration {
 	st := n.State()
--- a/fleet/node_test.go
+++ b/fleet/node_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 
 	"jackdawbarrow"
 	"jackdawbarrow/guard"
@@ -167,8 +165,6 @@
 // Guards against a VM that learns of no change while its feeder hangs.
 func TestHungFeeder(t *testing.T) {
 	store := &quietStore{}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	st := &State{Members: members(26, "largs")}
 	var self Member
 	for _, m := range st.Members {
@@ -176,7 +172,7 @@
 			self = m
 		}
 	}
-	n := New(Config{Self: self, Store: store, Feed: hungFeed{}, Decoder: noEntries{}, Post: func(jdaw.Event) {}, Log: log})
+	n := New(Config{Self: self, Store: store, Feed: hungFeed{}, Decoder: noEntries{}, Post: func(jdaw.Event) {}, Log: quietLog()})
 	defer n.Close()
 	n.Execute(Publish{State: st})
 	store.add(jdaw.Change{Key: "k", Revision: 2})
@@ -198,9 +194,7 @@
 // on saying that a new key does not exist while the store is away.
 func TestIsCurrent(t *testing.T) {
 	store := &quietStore{}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	n := New(Config{Self: Member{VM: "vm1"}, Store: store, Decoder: noEntries{}, Post: func(jdaw.Event) {}, Log: log})
+	n := New(Config{Self: Member{VM: "vm1"}, Store: store, Decoder: noEntries{}, Post: func(jdaw.Event) {}, Log: quietLog()})
 	defer n.Close()
 	for began := time.Now(); !n.IsCurrent(); time.Sleep(10 * time.Millisecond) {
 		if time.Since(began) > time.Second {
@@ -254,13 +248,11 @@
 // Guards against a bad version of a large fleet that is not found because only
 // a few VMs share what they saw of it.
 func TestAllVMsShareTheNewVersion(t *testing.T) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	st := &State{Members: members(79, "largs"), Rollouts: map[string]Rollout{"s": {Service: "s", Version: "v2", State: RolloutRunning}}}
 	shared := map[string]int{}
 	reporters := 0
 	for _, self := range st.Members {
-		n := New(Config{Self: self, Store: &quietStore{}, Decoder: noEntries{}, Post: func(jdaw.Event) {}, Log: log})
+		n := New(Config{Self: self, Store: &quietStore{}, Decoder: noEntries{}, Post: func(jdaw.Event) {}, Log: quietLog()})
 		n.Execute(Publish{State: st})
 		n.Count(Outcome{Service: "s", Version: "v1", IsTimed: true, Speed: 0.5})
 		n.Count(Outcome{Service: "s", Version: "v2", IsTimed: true, Speed: 0.2})
--- a/fleet/source.go
+++ b/fleet/source.go
@@ -30,25 +30,49 @@
 	avoidFeeder = 5 * time.Second
 )
 
-// feedersOf returns the VMs that read the store for the others of a data
-// centre, or none if all read it themselves.
-func (s *State) feedersOf(dc jdaw.DataCentre) []Member {
-	local := map[jdaw.VMID]Member{}
-	var vms []jdaw.VMID
+// Ranked returns VMs in the order of their rendezvous hash for a key.
+func Ranked(key string, members []Member) []Member {
+	byVM := make(map[jdaw.VMID]Member, len(members))
+	vms := make([]jdaw.VMID, 0, len(members))
+	for _, m := range members {
+		byVM[m.VM] = m
+		vms = append(vms, m.VM)
+	}
+	list := make([]Member, 0, len(vms))
+	for _, vm := range jdaw.Rendezvous(key, vms) {
+		list = append(list, byVM[vm])
+	}
+	return list
+}
+
+// peersIn returns the VMs of a data centre that pass changes on.
+func (s *State) peersIn(dc jdaw.DataCentre) []Member {
+	var list []Member
 	for _, m := range s.Members {
 		if m.DataCentre == dc && m.Peers != "" {
-			local[m.VM] = m
-			vms = append(vms, m.VM)
+			list = append(list, m)
 		}
 	}
-	if len(vms) < minFed {
+	return list
+}
+
+// feedersOf returns the VMs that read the store for the others of a data
+// centre, or none if all read it themselves.
+func (s *State) feedersOf(dc jdaw.DataCentre) []Member {
+	local := s.peersIn(dc)
+	if len(local) < minFed {
 		return nil
 	}
-	var list []Member
-	for _, vm := range jdaw.Rendezvous("feed/"+string(dc), vms)[:feedersIn(len(vms))] {
-		list = append(list, local[vm])
+	return Ranked("feed/"+string(dc), local)[:feedersIn(len(local))]
+}
+
+// readersIn returns the VMs of a data centre that read the store and pass its
+// changes on.
+func (s *State) readersIn(dc jdaw.DataCentre) []Member {
+	if list := s.feedersOf(dc); list != nil {
+		return list
 	}
-	return list
+	return s.peersIn(dc)
 }
 
 // feedersIn returns the number of feeders of a data centre of n VMs.
@@ -73,18 +97,15 @@
 			return Member{}, false
 		}
 	}
-	byVM := map[jdaw.VMID]Member{}
-	var vms []jdaw.VMID
-	for _, m := range s.feedersOf(self.DataCentre) {
+	feeders := s.feedersOf(self.DataCentre)
+	for _, m := range feeders {
 		if m.VM == self.VM {
 			return Member{}, false
 		}
-		byVM[m.VM] = m
-		vms = append(vms, m.VM)
 	}
-	for _, vm := range jdaw.Rendezvous("fed/"+string(self.VM), vms) {
-		if !isAvoided(vm) {
-			return byVM[vm], true
+	for _, m := range Ranked("fed/"+string(self.VM), feeders) {
+		if !isAvoided(m.VM) {
+			return m, true
 		}
 	}
 	return Member{}, false
@@ -93,26 +114,18 @@
 // readers returns the other VMs that most likely read the store, in an order of
 // this VM's own. A VM that the store turns away asks them.
 func (s *State) readers(self Member, isAvoided func(jdaw.VMID) bool) []Member {
-	byVM := map[jdaw.VMID]Member{}
-	var vms []jdaw.VMID
-	hasFeeders, isFeeder := map[jdaw.DataCentre]bool{}, map[jdaw.VMID]bool{}
-	for _, m := range s.Members {
-		if _, ok := hasFeeders[m.DataCentre]; !ok {
-			list := s.feedersOf(m.DataCentre)
-			hasFeeders[m.DataCentre] = len(list) > 0
-			for _, f := range list {
-				isFeeder[f.VM] = true
-			}
-		}
-		if m.VM == self.VM || m.Peers == "" || isAvoided(m.VM) || hasFeeders[m.DataCentre] && !isFeeder[m.VM] {
+	var list []Member
+	isDone := map[jdaw.DataCentre]bool{}
+	for _, member := range s.Members {
+		if isDone[member.DataCentre] {
 			continue
 		}
-		byVM[m.VM] = m
-		vms = append(vms, m.VM)
-	}
-	list := make([]Member, 0, len(vms))
-	for _, vm := range jdaw.Rendezvous("readers/"+string(self.VM), vms) {
-		list = append(list, byVM[vm])
+		isDone[member.DataCentre] = true
+		for _, m := range s.readersIn(member.DataCentre) {
+			if m.VM != self.VM && !isAvoided(m.VM) {
+				list = append(list, m)
+			}
+		}
 	}
-	return list
+	return Ranked("readers/"+string(self.VM), list)
 }
--- a/fleet/writes.go
+++ b/fleet/writes.go
@@ -77,7 +77,7 @@
 // putThroughOthers has other VMs write what the store has not taken because of
 // cause.
 func (n *Node) putThroughOthers(ctx context.Context, e jdaw.Entry, after uint64, cause error) (bool, error) {
-	for _, m := range n.writers() {
+	for _, m := range n.readers(neverAvoided) {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		ok, err := n.cfg.Feed.WriteIf(call, m.Peers, e, after)
 		cancel()
@@ -90,16 +90,6 @@
 	return false, cause
 }
 
-// writers returns the VMs that may write for this one.
-func (n *Node) writers() []Member {
-	st := n.State()
-	if st == nil || n.cfg.Feed == nil {
-		return nil
-	}
-	list := st.readers(n.cfg.Self, func(jdaw.VMID) bool { return false })
-	return list[:min(len(list), maxReadersAsked)]
-}
-
 // Take accepts entries of another VM, which are written with this VM's next
 // counts. Later values of a key replace earlier ones.
 func (n *Node) Take(entries []jdaw.Entry) {
@@ -115,8 +105,9 @@
 	return n.cfg.Store.PutIf(ctx, e.Key, e.Value, revision, "")
 }
 
-// takeTaken returns the entries of other VMs that wait to be written.
-func (n *Node) takeTaken() []jdaw.Entry {
+// drainTaken returns the entries of other VMs that wait to be written, and
+// forgets them.
+func (n *Node) drainTaken() []jdaw.Entry {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	entries := make([]jdaw.Entry, 0, len(n.taken))
--- a/gate/conns.go
+++ b/gate/conns.go
@@ -11,12 +11,6 @@
 	"jackdawbarrow/config"
 )
 
-// Limits on callers that hold while no configuration states any.
-const (
-	defaultHeaderTime = 3 * time.Second
-	defaultIdleTime   = 15 * time.Second
-)
-
 // callerConns closes connections of callers that send nothing for too long. The
 // timeouts of [http.Server] cannot change while it serves, and those of the
 // configuration do.
@@ -44,9 +38,9 @@
 	}
 	switch state {
 	case http.StateNew:
-		c.timers[conn] = c.closeAfter(conn, headerTime(c.limits()), "no request on a new connection")
+		c.timers[conn] = c.closeAfter(conn, c.limits().WithDefaults().HeaderTime, "no request on a new connection")
 	case http.StateIdle:
-		c.timers[conn] = c.closeAfter(conn, idleTime(c.limits()), "no further request")
+		c.timers[conn] = c.closeAfter(conn, c.limits().WithDefaults().IdleTime, "no further request")
 	}
 }
 
@@ -58,17 +52,3 @@
 		_ = conn.Close()
 	})
 }
-
-func headerTime(l config.CallerLimits) time.Duration {
-	if l.HeaderTime > 0 {
-		return l.HeaderTime
-	}
-	return defaultHeaderTime
-}
-
-func idleTime(l config.CallerLimits) time.Duration {
-	if l.IdleTime > 0 {
-		return l.IdleTime
-	}
-	return defaultIdleTime
-}
--- a/gate/process.go
+++ b/gate/process.go
@@ -214,7 +214,7 @@
 		}
 		router := httprouter.New()
 		router.HandlerFunc(http.MethodGet, route.path, route.handler)
-		srv := &http.Server{Handler: router, ReadHeaderTimeout: probeTimeout, IdleTimeout: defaultIdleTime}
+		srv := &http.Server{Handler: router, ReadHeaderTimeout: probeTimeout, IdleTimeout: config.DefaultCallerIdleTime}
 		p.others = append(p.others, srv)
 		if err := p.serve(srv, addr); err != nil {
 			return err
@@ -314,18 +314,15 @@
 // VM names others, so that all of them get callers.
 func (p *Process) addresses(st *fleet.State) []string {
 	self := p.cfg.Settings.VM
-	byVM := map[jdaw.VMID]string{}
-	var vms []jdaw.VMID
+	var members []fleet.Member
 	for _, m := range st.Members {
-		if m.VM == self && p.draining.Load() {
-			continue
+		if m.VM != self || !p.draining.Load() {
+			members = append(members, m)
 		}
-		byVM[m.VM] = m.Address
-		vms = append(vms, m.VM)
 	}
 	var addresses []string
-	for _, vm := range jdaw.Rendezvous("directory/"+string(self), vms)[:min(len(vms), maxAddresses)] {
-		addresses = append(addresses, byVM[vm])
+	for _, m := range fleet.Ranked("directory/"+string(self), members)[:min(len(members), maxAddresses)] {
+		addresses = append(addresses, m.Address)
 	}
 	return addresses
 }
--- a/relay/header.go
+++ b/relay/header.go
@@ -38,12 +38,8 @@
 }
 
 func checkHeader(r *http.Request, limits config.CallerLimits) error {
-	limit := limits.HeaderBytes
-	if limit <= 0 {
-		limit = defaultHeaderLimit
-	}
-	if size := headerSize(r); size > limit {
-		return jdaw.Fail(jdaw.CodeHeaderTooLarge, "the header has %d bytes, the limit is %d", size, limit)
+	if size := headerSize(r); size > limits.HeaderBytes {
+		return jdaw.Fail(jdaw.CodeHeaderTooLarge, "the header has %d bytes, the limit is %d", size, limits.HeaderBytes)
 	}
 	return nil
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -128,7 +128,8 @@
 	if st == nil || st.Table == nil {
 		return jdaw.Fail(jdaw.CodeNoConfiguration, "this VM has read no configuration yet")
 	}
-	if err := checkHeader(c.r, st.Table.Limits); err != nil {
+	limits := st.Table.Limits.WithDefaults()
+	if err := checkHeader(c.r, limits); err != nil {
 		return err
 	}
 	info, err := c.x.cfg.Protocol.ReadCall(c.r.Header)
@@ -143,7 +144,7 @@
 	if err := c.authenticate(st.Table); err != nil {
 		return err
 	}
-	if err := c.readBody(st.Table.Limits); err != nil {
+	if err := c.readBody(limits); err != nil {
 		return err
 	}
 	c.service = pickService(c.route.Shares, rand.Float64())
@@ -230,9 +231,6 @@
 		return nil
 	}
 	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
 	if c.r.ContentLength > limit {
 		return jdaw.Fail(jdaw.CodeBodyTooLarge, "the body has %d bytes, the limit is %d", c.r.ContentLength, limit)
 	}
@@ -252,12 +250,6 @@
 	return nil
 }
 
-// Limits that are used when the configuration states none.
-const (
-	defaultBodyLimit   = 4 << 20
-	defaultHeaderLimit = 16 << 10
-)
-
 // pickService draws one of the services by weight.
 func pickService(shares []config.ServiceShare, draw float64) string {
 	total := 0.0
