owner: refuse a held-back request without a wait time as "no capacity"

Cause: a request that does not wait may be held for 50 ms (throttledWait) for an upstream whose credits are still on their way. When that time ended, it was refused with CodeDeadline, as a request whose own wait had ended is. The entry then took the pool for exhausted by time instead of for full, did not queue for any pool, and answered 504 deadline with nearly all of its time left. This is how TestInvariantSessionVersion failed once (504 after 505 ms and two tries). Ruled out: the deadline of the credit call to an owner (it gives noOwner, which is tried again), the dial timeout of the engine client (upstreamConnection).

Change: only requests that asked to wait are refused with CodeDeadline.

Before: TestRequestWaitsForAnUpstreamHeldBack, which now checks the code, fails with "pool lm/dc1 has no credit within 0s (deadline), want noCapacity".

--- a/owner/cold_test.go
+++ b/owner/cold_test.go
@@ -83,6 +83,10 @@
 			if _, isRefused := d.refusals[ticket]; isRefused != c.refused || isGranted == c.refused {
 				t.Errorf("refused: %v, granted: %v", isRefused, isGranted)
 			}
+			if c.refused {
+				// The request has time left and may queue for another pool.
+				d.mustRefuse(ticket, jdaw.CodeNoCapacity)
+			}
 		})
 	}
 }
--- a/owner/machine.go
+++ b/owner/machine.go
@@ -457,7 +457,9 @@
 			p.stats.Refused++
 			delete(m.tickets, w.req.Ticket)
 			code := jdaw.CodeNoCapacity
-			if !at.Before(w.deadline) {
+			// A request without a wait time was held for throttledWait only; it may
+			// still queue for another pool.
+			if w.req.Wait > 0 && !at.Before(w.deadline) {
 				code = jdaw.CodeDeadline
 			}
 			m.refuse(w.req.Ticket, code, wait, "pool %s has no credit within %s", p.id, w.req.Wait)
