relay: observe what upstreams say about themselves in their responses

Cause: an upstream that leaves may say so in its responses before, or without, its entry in the store, and one that is overloaded may say for how long it wants no requests. The relay read neither: a leaving upstream got requests until its entry changed, and one that had refused got the next request after 150 ms.

A notice holds at this VM for one start of the upstream (id and start time). A leaving upstream gets no further request of any kind: first, retry, resume or escalation; a paused one none until the pause ends. They outlast a short absence of the entry. When all upstreams of a service have paused, a request is refused at once with a Retry-After that names the end of the first pause plus up to a quarter of it. A retry is now made only if an upstream can take it, so that a failure that an upstream answered is passed on and not replaced by "unknown outcome".

--- a/calls.go
+++ b/calls.go
@@ -44,6 +44,13 @@
 	IsOtherUpstream bool // a different upstream answers at the address
 	IsEncoded       bool // the body has a content encoding that the upstream did not apply
 	Confidence      int  // 0 to 100; -1 if not stated
+	// IsLeaving is set if the upstream shuts down and takes no new requests.
+	IsLeaving bool
+	// Pause is the time for which the upstream, which rejected the request, wants
+	// no others from this VM; 0 if not stated.
+	Pause time.Duration
+	// InvalidPause is a malformed value of Pause, which is ignored.
+	InvalidPause string
 }
 
 // CallProtocol translates the headers of requests and answers. Status codes and
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -142,9 +142,29 @@
 		return a, err
 	}
 	a.response = response
+	c.notice(a)
 	return a, nil
 }
 
+// notice records and logs what the upstream says about itself in its response.
+func (c *call) notice(a *attempt) {
+	for _, kind := range a.reservation.notice(time.Now(), a.info) {
+		c.x.cfg.Metrics.noticed(kind)
+		entry := c.x.cfg.Log.WithFields(logrus.Fields{
+			"request": c.info.ID, "upstream": a.reservation.ID, "address": a.reservation.Address, "service": c.service,
+			"status": a.response.Status, "revision": a.reservation.Revision,
+		})
+		switch kind {
+		case noticeLeaving:
+			entry.Info("upstream says that it is leaving")
+		case noticePause:
+			entry.WithField("pauseMs", a.info.Pause.Milliseconds()).Info("upstream wants no requests for a while")
+		case noticeInvalid:
+			entry.WithField("value", a.info.InvalidPause).Warn("malformed pause ignored")
+		}
+	}
+}
+
 // pickRequest returns the request to pick an upstream for a model, by default
 // the caller's. isEscalated is set for the model of an escalation.
 func (c *call) pickRequest(st *fleet.State, model string, isEscalated bool) pickRequest {
@@ -181,6 +201,16 @@
 // mayReuseUpstreams reports whether the request may go to an upstream that has had it.
 func (c *call) mayReuseUpstreams() bool { return c.route.IsRepeatable() || !c.mayHaveRun }
 
+// hasUpstream reports whether an upstream can take a retry now.
+func (c *call) hasUpstream() bool {
+	st := c.x.cfg.Fleet.State()
+	q := c.pickRequest(st, "", false)
+	if !c.mayReuseUpstreams() {
+		q.exclude = c.exclude
+	}
+	return c.x.picker.canPick(time.Now(), st, q)
+}
+
 // classify returns the result of an attempt. The second result is false if the
 // upstream's response is to be forwarded to the caller.
 func (c *call) classify(a *attempt, err error) (attemptResult, bool) {
@@ -291,7 +321,8 @@
 		if !ended {
 			return c.writePlain(a.response, held)
 		}
-		if c.canRetry(v) {
+		// A failure that an upstream answered is better than none.
+		if (v.err != nil || c.hasUpstream()) && c.canRetry(v) {
 			continue
 		}
 		if v.err == nil {
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,9 +13,30 @@
 	"jackdawbarrow"
 )
 
-// retryAfter is sent in the Retry-After header. Most refusals end with the next
-// change of the list of upstreams.
-const retryAfter = 300 * time.Millisecond
+const (
+	// defaultRetryAfter is sent in the Retry-After header. Most refusals end with
+	// the next change of the list of upstreams.
+	defaultRetryAfter = 300 * time.Millisecond
+	// retrySpread is the share of a pause by which the return of callers is spread
+	// after its end.
+	retrySpread = 0.25
+)
+
+// retryAfter returns when the caller should repeat a refused request. If all
+// upstreams have paused the requests of this VM, that is when the first pause
+// ends; callers return one by one, since the upstreams were overloaded.
+func (c *call) retryAfter(code jdaw.Code) time.Duration {
+	if code != jdaw.CodeNoUpstream && code != jdaw.CodeUpstreamRefused {
+		return defaultRetryAfter
+	}
+	st := c.x.cfg.Fleet.State()
+	pause := c.x.picker.nextReturn(time.Now(), st, c.pickRequest(st, "", false))
+	if pause <= 0 {
+		return defaultRetryAfter
+	}
+	spread := rand.Float64() * retrySpread * float64(pause)
+	return (pause + time.Duration(spread)).Round(time.Millisecond)
+}
 
 // problem is the body of an error response of the router.
 type problem struct {
@@ -85,7 +107,7 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	if info.Ran == jdaw.NotRun && info.Retry != jdaw.RetryNo {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+		h.Set("Retry-After", strconv.FormatFloat(c.retryAfter(coded.Code).Seconds(), 'f', -1, 64))
 	}
 	c.isStarted = true
 	c.w.WriteHeader(c.status)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -16,6 +16,7 @@
 type Metrics struct {
 	requests metric.Int64Counter
 	duration metric.Float64Histogram
+	notices  metric.Int64Counter
 }
 
 // NewMetrics creates the instruments.
@@ -26,7 +27,19 @@
 	}
 	duration, err := m.Float64Histogram("relay_duration", metric.WithUnit("s"),
 		metric.WithDescription("time from a request's arrival to the end of its answer"))
-	return &Metrics{requests: requests, duration: duration}, errors.Wrap(err, "create relay_duration")
+	if err != nil {
+		return nil, errors.Wrap(err, "create relay_duration")
+	}
+	notices, err := m.Int64Counter("relay_upstream_notices", metric.WithDescription("notices of upstreams about themselves by kind"))
+	return &Metrics{requests: requests, duration: duration, notices: notices}, errors.Wrap(err, "create relay_upstream_notices")
+}
+
+// noticed counts a notice of an upstream.
+func (m *Metrics) noticed(kind noticeKind) {
+	if m == nil {
+		return
+	}
+	m.notices.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", string(kind))))
 }
 
 func (m *Metrics) observe(route string, code jdaw.Code, gone bool, took time.Duration) {
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -78,6 +78,7 @@
 	ejectTime       time.Duration
 	failures        int // consecutive
 	recent          recentOutcomes
+	notices         notices
 	startedAt       int64
 	// quota is this VM's share of the cold rate for the members in quotaOf.
 	quota   int
@@ -216,6 +217,14 @@
 	return p.queueAt(i, q), true
 }
 
+// canPick reports whether pick would return an upstream.
+func (p *picker) canPick(at time.Time, st *fleet.State, q pickRequest) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.collect(at, st, st.Table.Services[q.service], q, false)
+	return p.chooser.Choose(q.prefix, p.candidates) >= 0
+}
+
 // queueAt returns the queue at a candidate.
 func (p *picker) queueAt(i int, q pickRequest) queue {
 	at := queue{ahead: p.candidates[i].Work - q.work.own, own: q.work.own, hasAffinity: i == p.affinity}
@@ -240,11 +249,11 @@
 	list := st.Upstreams[q.service]
 	for i := range list {
 		u := &list[i]
-		if u.Leaving || st.Out[u.DataCentre] || !st.WantsVersion(q.service, u.Version, q.sample) || contains(q.exclude, u.ID) {
+		if !isEligible(st, u, q) || contains(q.exclude, u.ID) {
 			continue
 		}
 		s := p.stateOf(u)
-		if at.Before(s.replacedUntil) || strict && (at.Before(s.ejectedUntil) || p.isOutlier(s.key)) {
+		if s.notices.forbidsRequests(at) || at.Before(s.replacedUntil) || strict && (at.Before(s.ejectedUntil) || p.isOutlier(s.key)) {
 			continue
 		}
 		if p.isCold(at, u, s) && !p.mayUseCold(at, st, spec, u, s) {
@@ -267,6 +276,12 @@
 	}
 }
 
+// isEligible reports whether the state of the deployment lets the upstream serve
+// the request.
+func isEligible(st *fleet.State, u *fleet.Upstream, q pickRequest) bool {
+	return !u.Leaving && !st.Out[u.DataCentre] && st.WantsVersion(q.service, u.Version, q.sample)
+}
+
 func (p *picker) isOutlier(key jdaw.UpstreamKey) bool {
 	return p.backlogs != nil && p.backlogs.IsOutlier(key)
 }
@@ -398,7 +413,7 @@
 }
 
 // forget drops the state of removed upstreams without requests.
-func (p *picker) forget(st *fleet.State) {
+func (p *picker) forget(at time.Time, st *fleet.State) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := map[jdaw.UpstreamID]bool{}
@@ -408,7 +423,7 @@
 		}
 	}
 	for id, s := range p.upstreams {
-		if !known[id] && s.inUse == 0 {
+		if !known[id] && s.inUse == 0 && !s.notices.isRetained(at) {
 			delete(p.upstreams, id)
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -70,7 +70,7 @@
 }
 
 // Forget drops the state of removed upstreams.
-func (x *Relay) Forget(st *fleet.State) { x.picker.forget(st) }
+func (x *Relay) Forget(st *fleet.State) { x.picker.forget(time.Now(), st) }
 
 // Backlog returns this VM's work and recent outcomes at upstreams.
 func (x *Relay) Backlog() jdaw.Backlog { return x.picker.backlog(time.Now()) }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -53,7 +53,13 @@
 }
 
 func (protocol) ReadAnswer(_ int, h http.Header) jdaw.Answer {
-	a := jdaw.Answer{RequestID: h.Get("Id"), IsSigned: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Confidence: -1}
+	a := jdaw.Answer{
+		RequestID: h.Get("Id"), IsSigned: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Confidence: -1,
+		IsLeaving: h.Get("Leaving") != "", InvalidPause: h.Get("Bad-Pause"),
+	}
+	if pause, err := time.ParseDuration(h.Get("Pause")); err == nil {
+		a.Pause = pause
+	}
 	if n, err := strconv.Atoi(h.Get("Confidence")); err == nil {
 		a.Confidence = n
 	}
@@ -507,3 +513,93 @@
 		t.Errorf("counted %+v, want one speed and one response", all)
 	}
 }
+
+// withNotice answers as next does and adds what the upstream says about itself.
+func withNotice(name, value string, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(name, value)
+		next(w, r)
+	}
+}
+
+// Guards against further requests, retries, resumed streams and escalations to
+// an upstream that said in any answer that it is leaving, or that it wants none
+// for a while; and against a caller who waits although no upstream takes the
+// request.
+func TestNoticesOfUpstreams(t *testing.T) {
+	unsure := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Confidence", "10")
+		events(w, r, 8, 8)
+	}
+	cases := map[string]struct {
+		kind     config.RouteKind
+		name     string // of the notice's header
+		handlers []http.HandlerFunc
+		first    int // status of the first request
+		runs     int // requests that arrive at the upstreams with a notice
+		second   int // status of the requests after it
+	}{
+		"leaving, success":           {config.RouteSafe, "Leaving", []http.HandlerFunc{ok}, 200, 1, 503},
+		"leaving, refusal":           {config.RouteUnsafe, "Leaving", []http.HandlerFunc{shed}, 503, 1, 503},
+		"leaving, error":             {config.RouteSafe, "Leaving", []http.HandlerFunc{failed}, 500, 1, 503},
+		"leaving, head of a stream":  {config.RouteStreaming, "Leaving", []http.HandlerFunc{streamUntil(8)}, 200, 1, 503},
+		"leaving, cut stream":        {config.RouteStreaming, "Leaving", []http.HandlerFunc{streamUntil(3)}, 200, 1, 503},
+		"leaving, unsure stream":     {config.RouteStreaming, "Leaving", []http.HandlerFunc{unsure}, 200, 1, 503},
+		"leaving, all of three":      {config.RouteSafe, "Leaving", []http.HandlerFunc{shed, shed, shed}, 503, 3, 503},
+		"pause, one upstream":        {config.RouteUnsafe, "Pause", []http.HandlerFunc{shed}, 503, 1, 503},
+		"pause, all of three":        {config.RouteSafe, "Pause", []http.HandlerFunc{shed, shed, shed}, 503, 3, 503},
+		"pause, stream, all of two":  {config.RouteStreaming, "Pause", []http.HandlerFunc{shed, shed}, 503, 2, 503},
+		"malformed pause is ignored": {config.RouteUnsafe, "Bad-Pause", []http.HandlerFunc{ok}, 200, 6, 200},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := route(c.kind)
+			r.Models = []string{"small", "large"}
+			var handlers []http.HandlerFunc
+			for _, h := range c.handlers {
+				handlers = append(handlers, withNotice(c.name, "20s", h))
+			}
+			d, base := start(t, r, handlers...)
+			if got := send(t, base, http.MethodPost, "/a/x", nil); got.status != c.first {
+				t.Fatalf("the first request got %d, want %d", got.status, c.first)
+			}
+			for range 5 {
+				began := time.Now()
+				got := send(t, base, http.MethodPost, "/a/x", nil)
+				if got.status != c.second || time.Since(began) > time.Second {
+					t.Fatalf("got %d after %v, want %d", got.status, time.Since(began), c.second)
+				}
+				after, _ := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				if got.status == 503 && (after <= 0 || (after > 19) != (c.name == "Pause")) {
+					t.Errorf("Retry-After %q", got.header.Get("Retry-After"))
+				}
+			}
+			if runs := d.arrived(); len(runs) != c.runs {
+				t.Errorf("%d requests arrived, want %d: %v", len(runs), c.runs, runs)
+			}
+		})
+	}
+	t.Run("another upstream serves", func(t *testing.T) {
+		d, base := start(t, route(config.RouteSafe), withNotice("Pause", "20s", shed), withNotice("Leaving", "1", ok), ok)
+		for range 30 {
+			if got := send(t, base, http.MethodPost, "/a/x", nil); got.status != http.StatusOK {
+				t.Fatalf("got %+v", got)
+			}
+		}
+		of := map[string]int{}
+		for _, run := range d.arrived() {
+			of[run]++
+		}
+		if of["u0"] > 1 || of["u1"] > 1 || of["u2"] < 28 {
+			t.Errorf("requests by upstream: %v", of)
+		}
+	})
+	t.Run("a new process serves", func(t *testing.T) {
+		d, base := start(t, route(config.RouteSafe), withNotice("Leaving", "1", ok))
+		send(t, base, http.MethodPost, "/a/x", nil)
+		d.state.Upstreams["s"][0].Born++
+		if got := send(t, base, http.MethodPost, "/a/x", nil); got.status != http.StatusOK {
+			t.Errorf("got %+v", got)
+		}
+	})
+}
