relay: SIGHUP while a VM drains no longer ends it

Cause: the handler of SIGHUP was removed when the drain began, so that a change of the settings during a planned stop took the default action and ended the process at once, with all requests in progress.

Change: SIGHUP is caught from the start of a VM's process to its end; serve ignores it. Other commands keep the default action.

--- a/cmd/jackdawbarrow/main.go
+++ b/cmd/jackdawbarrow/main.go
@@ -57,6 +57,10 @@
 
 // run is main without the exit, so that tests can call it as a command.
 func run() int {
+	// A VM gets SIGHUP when its settings change, also before it has read them and
+	// while it drains. The default action would end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	var c commands
 	parser, err := kong.New(&c,
 		kong.Name("jackdawbarrow"),
@@ -77,10 +81,14 @@
 		parser.FatalIfErrorf(err)
 		return exitUsage
 	}
+	if !isVM(kctx.Command()) {
+		signal.Stop(hangups)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	kctx.BindTo(ctx, (*context.Context)(nil))
 	kctx.Bind(parser)
+	kctx.Bind(hangupSource(hangups))
 	if err := kctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "jackdawbarrow: "+message(err))
 		return exitFailure
@@ -88,6 +96,12 @@
 	return 0
 }
 
+// hangupSource delivers SIGHUP.
+type hangupSource <-chan os.Signal
+
+// isVM reports whether a command runs an entry VM, which SIGHUP must not end.
+func isVM(command string) bool { return command == "relay" || command == "serve" }
+
 // message leaves out the code of an error that has none.
 func message(err error) string {
 	if coded := jdaw.CodeOf(err); coded.Code != jdaw.CodeInternal {
--- a/cmd/jackdawbarrow/relay.go
+++ b/cmd/jackdawbarrow/relay.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/sirupsen/logrus"
 
@@ -25,7 +23,7 @@
 
 // Run implements the command. It returns after a drain, which SIGINT and
 // SIGTERM start.
-func (c *relayCommand) Run(ctx context.Context) error {
+func (c *relayCommand) Run(ctx context.Context, hangups hangupSource) error {
 	settings, err := config.LoadRelaySettings(c.Settings)
 	if err != nil {
 		return err
@@ -50,7 +48,7 @@
 		return err
 	}
 	log.WithFields(logrus.Fields{"vm": settings.VM, "callers": settings.Listen.Callers}).Info("started")
-	settings = c.await(ctx, settings, log)
+	settings = c.await(ctx, hangups, settings, log)
 	log.Info("draining; requests in progress are finished")
 	p.Drain(settings.Drain())
 	log.Info("stopped")
@@ -59,10 +57,7 @@
 
 // await returns when ctx ends. SIGHUP reads the settings again: the log level
 // and the drain time take effect, all else with the next start.
-func (c *relayCommand) await(ctx context.Context, settings config.RelaySettings, log *logrus.Logger) config.RelaySettings {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func (c *relayCommand) await(ctx context.Context, hangups hangupSource, settings config.RelaySettings, log *logrus.Logger) config.RelaySettings {
 	for {
 		select {
 		case <-ctx.Done():
--- a/cmd/jackdawbarrow/relay_test.go
+++ b/cmd/jackdawbarrow/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"syscall"
 	"testing"
@@ -42,8 +43,10 @@
 	defer stop()
 	got := make(chan config.RelaySettings, 1)
 	c := relayCommand{Settings: file}
-	go func() { got <- c.await(ctx, settings, log) }()
-	time.Sleep(100 * time.Millisecond) // the handler is set
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go func() { got <- c.await(ctx, hangups, settings, log) }()
 	for _, text := range []string{relaySettings + "drainSeconds: 3\n", "vm: [broken"} {
 		write(text)
 		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
