Bound what upstreams and other writers of the store can do to a VM

Cause: (1) dial read a response's header without bound. An upstream that sends a status line, a header line, header lines, noise or interim responses without end took 0.5 to 2.1 GB of heap in 3 s, or held the request until its deadline. (2) Events were bounded by the line only, bodies one by one only. (4) A reply of the store above 8 MB was cut and never decoded, and a full read of all pages had 2 s in all, so that large values of other writers kept VMs from following it.

--- a/dial/conn.go
+++ b/dial/conn.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // readBuffer is the buffer size in bytes: the header of a response and many events
@@ -15,13 +18,40 @@
 type conn struct {
 	net.Conn
 	addr      string
-	r         *bufio.Reader
+	source    *boundedReader
+	r         *bufio.Reader // of source
 	idleSince time.Time
 	expires   time.Time
 }
 
 func newConn(nc net.Conn, addr string) *conn {
-	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, readBuffer)}
+	source := &boundedReader{r: nc}
+	return &conn{Conn: nc, addr: addr, source: source, r: bufio.NewReaderSize(source, readBuffer)}
+}
+
+var errUnbounded = errors.New("the upstream sends more bytes than a response may have")
+
+// boundedReader fails after a number of bytes, unless it is unbounded.
+type boundedReader struct {
+	r         io.Reader
+	isBounded bool
+	left      int64
+}
+
+// bound allows n more bytes.
+func (b *boundedReader) bound(n int64) { b.isBounded, b.left = true, n }
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if !b.isBounded {
+		return b.r.Read(p)
+	}
+	if b.left <= 0 {
+		return 0, errUnbounded
+	}
+	n, err := b.r.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
 }
 
 // isUsable reports whether an idle connection can be reused: it hasn't expired,
--- a/dial/exchange.go
+++ b/dial/exchange.go
@@ -18,6 +18,12 @@
 	// is read. A larger one is written concurrently, since the upstream may respond
 	// early and stop reading.
 	maxInlineBody = 2 << 10
+	// maxHead bounds the bytes up to the end of a response's header, with all
+	// interim responses before it. Upstreams that fail may send other bytes without
+	// end.
+	maxHead = 64 << 10
+	// maxSkippedBody bounds the body of a skipped response in bytes.
+	maxSkippedBody = 1 << 20
 	// maxMismatched is the number of skipped responses to other requests.
 	maxMismatched = 2
 )
@@ -140,6 +146,7 @@
 // to earlier requests are skipped.
 func readResponse(c *conn, q Request) (*http.Response, error) {
 	req := &http.Request{Method: q.Method}
+	c.source.bound(maxHead)
 	for skipped := 0; ; {
 		raw, err := http.ReadResponse(c.r, req)
 		if err != nil {
@@ -149,15 +156,18 @@
 			continue
 		}
 		if q.IsOwn == nil || q.IsOwn(raw.StatusCode, raw.Header) {
+			c.source.isBounded = false
 			return raw, nil
 		}
 		skipped++
 		if skipped > maxMismatched || raw.ContentLength < 0 && len(raw.TransferEncoding) == 0 {
 			return nil, errors.Newf("response with status %d belongs to another request", raw.StatusCode)
 		}
+		c.source.bound(maxSkippedBody)
 		if _, err := io.Copy(io.Discard, raw.Body); err != nil {
 			return nil, errors.Wrap(err, "skip response to another request")
 		}
+		c.source.bound(maxHead)
 	}
 }
 
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -112,9 +112,7 @@
 }
 
 func (n *Node) load(outage time.Duration) (uint64, error) {
-	ctx, cancel := context.WithTimeout(n.ctx, 2*callTimeout)
-	defer cancel()
-	items, rev, err := n.cfg.Store.Load(ctx)
+	items, rev, err := n.cfg.Store.Load(n.ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -417,6 +415,32 @@
 	n.nextStoreReadDue.Store(0)
 }
 
+// maxRejected bounds the rejected entries whose reason is remembered.
+const maxRejected = 1000
+
+// logRejected counts a rejected entry, and logs it once for each reason: upstreams
+// write their entries every second.
+func (n *Node) logRejected(key string, err error) {
+	if err == nil {
+		delete(n.rejected, key)
+		return
+	}
+	n.rejectedCount.Add(1)
+	reason := err.Error()
+	if n.rejected[key] == reason {
+		return
+	}
+	if len(n.rejected) >= maxRejected {
+		clear(n.rejected)
+	}
+	n.rejected[key] = reason
+	n.cfg.Log.WithError(err).WithField("key", key).Warn("entry rejected")
+}
+
+// RejectedEntries returns how many entries of the store were rejected as
+// malformed.
+func (n *Node) RejectedEntries() int64 { return n.rejectedCount.Load() }
+
 // post turns one change into an event. lag is the longest time that it may
 // have been in the store unread.
 func (n *Node) post(c jdaw.Change, lag time.Duration) {
@@ -425,10 +449,7 @@
 		decode = decodeInternal
 	}
 	ev, err := decode(c)
-	if err != nil {
-		n.cfg.Log.WithError(err).WithField("key", c.Key).Warn("failed to decode entry; ignored")
-		return
-	}
+	n.logRejected(c.Key, err)
 	if order, ok := ev.(RolloutOrdered); ok {
 		order.Lag = lag
 		n.cfg.Log.WithFields(logrus.Fields{
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -73,11 +74,14 @@
 	// avoided are feeders that failed, until when; lostAt is the time, by BootTime,
 	// since which the store does not respond, 0 while it does; known are the
 	// revisions of all keys. Only the follower goroutine uses them.
-	avoided     map[jdaw.VMID]time.Time
-	lostAt      time.Duration
-	known       map[string]uint64
-	failed      chan struct{}              // a failure is to be published
-	unpublished map[jdaw.ModelVersion]bool // counts not yet published
+	avoided map[jdaw.VMID]time.Time
+	lostAt  time.Duration
+	// rejected are the reasons of rejected entries by key. Only follow uses it.
+	rejected      map[string]string
+	rejectedCount atomic.Int64
+	known         map[string]uint64
+	failed        chan struct{}              // a failure is to be published
+	unpublished   map[jdaw.ModelVersion]bool // counts not yet published
 	// forwarded are entries that this VM writes for others, with its own next counts.
 	forwarded map[string][]byte
 }
@@ -91,7 +95,7 @@
 	n := &Node{
 		cfg: cfg, ctx: ctx, cancel: cancel, leave: make(chan struct{}), writes: make(chan write, 64),
 		counts: map[jdaw.ModelVersion]guard.Counts{}, unpublished: map[jdaw.ModelVersion]bool{}, forwarded: map[string][]byte{},
-		avoided: map[jdaw.VMID]time.Time{}, failed: make(chan struct{}, 1), storeUp: make(chan struct{}, 1),
+		avoided: map[jdaw.VMID]time.Time{}, rejected: map[string]string{}, failed: make(chan struct{}, 1), storeUp: make(chan struct{}, 1),
 	}
 	n.wg.Go(func() { n.follow() })
 	n.wg.Go(func() { n.register() })
@@ -128,7 +132,10 @@
 	}
 }
 
-func isInternalKey(key string) bool { return strings.HasPrefix(key, "jdaw/") }
+// KeyPrefix is the prefix of the keys that VMs of this system write.
+const KeyPrefix = "jdaw/"
+
+func isInternalKey(key string) bool { return strings.HasPrefix(key, KeyPrefix) }
 
 // decodeInternal reads the keys that VMs of this system write.
 func decodeInternal(c jdaw.Change) (jdaw.Event, error) {
@@ -137,9 +144,7 @@
 		if c.Removed {
 			return MemberGone{VM: strings.TrimPrefix(c.Key, memberPrefix)}, nil
 		}
-		var m Member
-		err := json.Unmarshal(c.Value, &m)
-		return MemberSeen{Member: m}, errors.Wrap(err, "decode VM")
+		return decodeMember(c)
 	case c.Removed:
 		return nil, nil
 	case strings.HasPrefix(c.Key, countsPrefix):
@@ -154,6 +159,26 @@
 	return nil, nil
 }
 
+// decodeMember reads the entry of a VM. One that is malformed counts as removed:
+// callers would be sent to its address.
+func decodeMember(c jdaw.Change) (jdaw.Event, error) {
+	vm := strings.TrimPrefix(c.Key, memberPrefix)
+	gone := MemberGone{VM: vm}
+	var m Member
+	if err := json.Unmarshal(c.Value, &m); err != nil {
+		return gone, errors.Wrap(err, "decode VM")
+	}
+	if string(m.VM) != vm {
+		return gone, errors.Newf("the entry is of VM %.64q", string(m.VM))
+	}
+	for _, addr := range []string{m.Address, m.Peers} {
+		if a, err := netip.ParseAddrPort(addr); addr != "" && (err != nil || a.Port() == 0) {
+			return gone, errors.Newf("%.64q is not IP:port", addr)
+		}
+	}
+	return MemberSeen{Member: m}, nil
+}
+
 // register keeps the VM's entry alive until the drain.
 func (n *Node) register() {
 	lease := ""
--- a/gate/process.go
+++ b/gate/process.go
@@ -12,6 +12,7 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel/metric"
 	"google.golang.org/grpc"
 
 	"jackdawbarrow"
@@ -121,6 +122,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := p.countRejectedEntries(instruments); err != nil {
+		return nil, err
+	}
 	p.loads = loads.New(loads.Config{
 		Self: self, State: p.node.State, Log: cfg.Log,
 		Own: func() jdaw.Backlog {
@@ -130,12 +134,30 @@
 	})
 	p.relay = relay.New(relay.Config{
 		Self: s.VM, Fleet: p.node, Protocol: cfg.Protocol, Pool: p.pool, Planner: p.casc, Learner: p.casc, Backlogs: p.loads,
-		QualityTarget: s.QualityTarget, Metrics: observed, Log: cfg.Log,
+		QualityTarget: s.QualityTarget, BodyMemory: bodyMemory(s.MemoryMB), Metrics: observed, Log: cfg.Log,
 	})
 	close(ready)
 	return p, p.listen(metrics)
 }
 
+// countRejectedEntries serves the number of malformed entries of the store.
+func (p *Process) countRejectedEntries(m metric.Meter) error {
+	_, err := m.Int64ObservableCounter("store_rejected_entries",
+		metric.WithDescription("entries of the store that were rejected as malformed"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(p.node.RejectedEntries())
+			return nil
+		}))
+	return errors.Wrap(err, "create store_rejected_entries")
+}
+
+// bodyShare is the part of the process's memory limit that bodies may take.
+const bodyShare = 0.25
+
+// bodyMemory returns the memory for bodies in bytes, 0 without a limit of the
+// process.
+func bodyMemory(megabytes int) int64 { return int64(bodyShare * float64(megabytes<<20)) }
+
 // execute runs the actions of all state machines.
 func (p *Process) execute(a jdaw.Action) {
 	if w, ok := a.(fleet.WriteRollout); ok {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -307,7 +307,7 @@
 		v, ended := c.classify(a, err)
 		var held []byte
 		if !ended || v.err == nil {
-			held, err = readWhole(a.response)
+			held, err = c.memory.readBody(a.response.Body, maxPlainAnswer)
 			if err != nil {
 				v, ended = c.unknownOutcome(a, "the response was truncated: "+err.Error()), true
 			}
@@ -332,14 +332,6 @@
 	}
 }
 
-func readWhole(a *dial.Answer) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxPlainAnswer+1))
-	if err == nil && len(b) > maxPlainAnswer {
-		err = errors.Newf("more than %d bytes", maxPlainAnswer)
-	}
-	return b, err
-}
-
 // writePlain forwards a buffered response.
 func (c *call) writePlain(a *dial.Answer, body []byte) error {
 	h := c.w.Header()
--- /dev/null
+++ b/relay/memory.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// defaultBodyMemory bounds the bodies of all requests if the settings state no
+	// limit of the process, in bytes.
+	defaultBodyMemory = 64 << 20
+	// bodyStep is the size of the steps in which memory for a body is reserved, in
+	// bytes. The declared length of a body is not trusted.
+	bodyStep = 4 << 10
+)
+
+var (
+	errNoMemory  = errors.New("the VM holds too many bodies")
+	errLongBody  = errors.New("the body is too long")
+	errLongEvent = errors.Newf("an event exceeds %d bytes", maxEvent)
+)
+
+// memoryBudget bounds the bytes of the bodies that a VM holds at once. It is safe
+// for concurrent use.
+type memoryBudget struct{ free atomic.Int64 }
+
+func newMemoryBudget(bytes int64) *memoryBudget {
+	if bytes <= 0 {
+		bytes = defaultBodyMemory
+	}
+	b := &memoryBudget{}
+	b.free.Store(bytes)
+	return b
+}
+
+// heldMemory is the memory that one request holds.
+type heldMemory struct {
+	budget *memoryBudget
+	bytes  int64
+}
+
+// grow reserves memory for n bytes in all, in whole steps.
+func (h *heldMemory) grow(n int64) error {
+	n = (n + bodyStep - 1) / bodyStep * bodyStep
+	more := n - h.bytes
+	if more <= 0 {
+		return nil
+	}
+	if h.budget.free.Add(-more) < 0 {
+		h.budget.free.Add(more)
+		return errNoMemory
+	}
+	h.bytes = n
+	return nil
+}
+
+func (h *heldMemory) release() {
+	h.budget.free.Add(h.bytes)
+	h.bytes = 0
+}
+
+// readBody reads a body of at most limit bytes. A buffer that grows is copied, so
+// twice its size is reserved.
+func (h *heldMemory) readBody(r io.Reader, limit int64) ([]byte, error) {
+	held := h.bytes
+	var b bytes.Buffer
+	for {
+		if err := h.grow(held + 2*int64(b.Len()) + bodyStep); err != nil {
+			return nil, err
+		}
+		n, err := io.CopyN(&b, r, max(bodyStep, int64(b.Len())))
+		if int64(b.Len()) > limit {
+			return nil, errLongBody
+		}
+		if err == io.EOF {
+			return b.Bytes(), nil
+		}
+		if err != nil || n == 0 {
+			return nil, err
+		}
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -47,8 +46,11 @@
 	Backlogs Backlogs
 	// QualityTarget is the confidence, 0..1, that a response must reach.
 	QualityTarget float64
-	Metrics       *Metrics
-	Log           logrus.FieldLogger
+	// BodyMemory bounds the bodies of all requests and responses that are held at
+	// once, in bytes; 0 takes the default.
+	BodyMemory int64
+	Metrics    *Metrics
+	Log        logrus.FieldLogger
 }
 
 // Relay forwards requests. It implements [http.Handler].
@@ -59,13 +61,14 @@
 	eventTimesByKind *eventTimesByKind
 	abandonBudget    *tokenBucket
 	prefillRates     *prefillRates
+	memory           *memoryBudget
 }
 
 // New returns a relay.
 func New(cfg Config) *Relay {
 	return &Relay{
 		cfg: cfg, picker: newPicker(cfg.Self, cfg.Backlogs), retryBudget: newRetryBudget(), eventTimesByKind: newEventTimesByKind(),
-		abandonBudget: newAbandonBudget(), prefillRates: newPrefillRates(),
+		abandonBudget: newAbandonBudget(), prefillRates: newPrefillRates(), memory: newMemoryBudget(cfg.BodyMemory),
 	}
 }
 
@@ -89,6 +92,7 @@
 	sample    fleet.Sample
 	body      []byte
 	hasBody   bool
+	memory    heldMemory // of the bodies of request and responses
 	startedAt time.Time
 	deadline  time.Time
 
@@ -107,7 +111,8 @@
 
 // ServeHTTP implements [http.Handler].
 func (x *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{x: x, w: w, r: r, startedAt: time.Now(), priority: -1}
+	c := &call{x: x, w: w, r: r, startedAt: time.Now(), priority: -1, memory: heldMemory{budget: x.memory}}
+	defer c.memory.release()
 	err := c.prepare()
 	if err == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -234,17 +239,14 @@
 	if c.r.ContentLength > limit {
 		return jdaw.Fail(jdaw.CodeBodyTooLarge, "the body has %d bytes, the limit is %d", c.r.ContentLength, limit)
 	}
-	if c.r.ContentLength > 0 {
-		c.body = make([]byte, c.r.ContentLength)
-		_, err := io.ReadFull(c.r.Body, c.body)
-		return errors.Mark(err, errCallerGone)
-	}
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
-	if err != nil {
-		return errors.Mark(err, errCallerGone)
-	}
-	if int64(len(body)) > limit {
+	body, err := c.memory.readBody(c.r.Body, limit)
+	switch {
+	case errors.Is(err, errLongBody):
 		return jdaw.Fail(jdaw.CodeBodyTooLarge, "the body exceeds the limit of %d bytes", limit)
+	case errors.Is(err, errNoMemory):
+		return jdaw.Fail(jdaw.CodeNoMemory, "the VM holds too many bodies to read another one")
+	case err != nil:
+		return errors.Mark(err, errCallerGone)
 	}
 	c.body = body
 	return nil
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -137,7 +137,7 @@
 	pool := dial.New(dial.Config{})
 	t.Cleanup(pool.Close)
 	srv := httptest.NewServer(relay.New(relay.Config{
-		Self: "vm", Fleet: d, Protocol: protocol{}, Pool: pool, Planner: planner{}, Learner: planner{}, QualityTarget: 0.5, Log: log,
+		Self: "vm", Fleet: d, Protocol: protocol{}, Pool: pool, Planner: planner{}, Learner: planner{}, QualityTarget: 0.5, Log: log, BodyMemory: 32 << 20,
 	}))
 	t.Cleanup(srv.Close)
 	return d, srv.URL
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -90,7 +90,7 @@
 
 // forwardWhole forwards a response that is not a stream.
 func (c *call) forwardWhole(a *attempt, o outcome) error {
-	body, err := readWhole(a.response)
+	body, err := c.memory.readBody(a.response.Body, maxPlainAnswer)
 	if err != nil {
 		a.end(outcomeFailed)
 		return jdaw.Fail(jdaw.CodeOutcomeUnknown, "the response was truncated: %s", err)
@@ -219,7 +219,7 @@
 	c := s.c
 	r := bufio.NewReaderSize(a.response.Body, eventBuffer)
 	for {
-		event, id, err := readEvent(r)
+		event, id, err := readEvent(r, &c.memory)
 		if err == io.EOF {
 			a.last = time.Now()
 			s.writeHead(a)
@@ -316,11 +316,18 @@
 
 // readEvent reads one event with its blank line. It returns io.EOF only at an
 // end between events.
-func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
+func readEvent(r *bufio.Reader, memory *heldMemory) (event []byte, id string, err error) {
 	for {
 		line, err := r.ReadSlice('\n')
+		if len(event)+len(line) > maxEvent {
+			return nil, "", errLongEvent
+		}
+		// The slice doubles when it grows.
+		if growErr := memory.grow(2 * int64(len(event)+len(line))); growErr != nil {
+			return nil, "", growErr
+		}
 		event = append(event, line...)
-		if err == bufio.ErrBufferFull && len(event) < maxEvent {
+		if err == bufio.ErrBufferFull {
 			continue
 		}
 		if err == io.EOF && len(bytes.TrimSpace(event)) > 0 {
--- a/store.go
+++ b/store.go
@@ -68,7 +68,9 @@
 
 // ChangeStore is a key-value service that numbers all of its changes.
 type ChangeStore interface {
-	// Load returns all items and the revision from which to read Changes.
+	// Load returns all items that concern the system and the revision from which to
+	// read Changes. It limits the time of each call to the store, of which it may
+	// need several.
 	Load(ctx context.Context) ([]Change, uint64, error)
 	// Changes waits until there are changes after a revision, or until wait has
 	// passed, and returns the revision to continue from.
