relay: repeat a request at the same upstream on a new connection only

Cause: a retry has the request id of the first attempt. An upstream that sends a second copy of a response, late on a connection that is in use again, thus answered the retry with the failure of the first attempt: the id, by which copies are told apart, is the same.

Change: an attempt at an upstream that had this request before uses a connection that has carried no other request.

Before: TestLateCopyOfAResponse fails, 2 of 4 requests get the copy of a failure.

--- a/dial/exchange.go
+++ b/dial/exchange.go
@@ -40,6 +40,10 @@
 	// MaxIdle, if set, limits the idle time of a reused connection. A request that
 	// can't be retried must not race with the upstream closing the connection.
 	MaxIdle time.Duration
+	// NewConn requires a connection that has carried no other request. A late copy
+	// of the response to an earlier attempt would pass for the response to this one,
+	// since both have the same id.
+	NewConn bool
 	// IsOwn reports whether a response with this header belongs to the request.
 	IsOwn func(status int, h http.Header) bool
 }
@@ -100,7 +104,7 @@
 // Do sends the request once and reads the response header. When ctx ends, the
 // connection is closed, even while the body is read.
 func (p *Pool) Do(ctx context.Context, q Request) (*Answer, error) {
-	c, err := p.take(ctx, q.Address, q.MaxIdle)
+	c, err := p.take(ctx, q)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
--- a/dial/pool.go
+++ b/dial/pool.go
@@ -86,17 +86,18 @@
 }
 
 // take returns an idle connection without unread input, or a new one.
-func (p *Pool) take(ctx context.Context, addr string, maxAge time.Duration) (*conn, error) {
-	for {
-		c := p.pop(addr)
+func (p *Pool) take(ctx context.Context, q Request) (*conn, error) {
+	for !q.NewConn {
+		c := p.pop(q.Address)
 		if c == nil {
-			return p.connect(ctx, addr)
+			break
 		}
-		if c.isUsable(time.Now(), maxAge) {
+		if c.isUsable(time.Now(), q.MaxIdle) {
 			return c, nil
 		}
 		c.Close()
 	}
+	return p.connect(ctx, q.Address)
 }
 
 func (p *Pool) pop(addr string) *conn {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -124,8 +124,9 @@
 	})
 	req := dial.Request{
 		Address: res.Address, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
-		Header: h, Body: c.body, HasBody: c.hasBody,
+		Header: h, Body: c.body, HasBody: c.hasBody, NewConn: contains(c.dispatched, res.ID),
 	}
+	c.dispatched = append(c.dispatched, res.ID)
 	if !c.route.IsRepeatable() {
 		req.MaxIdle = unsafeIdle
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -99,6 +99,7 @@
 	attempts    int // dispatches that reached an upstream
 	dispatches  int // with failed connections
 	exclude     []jdaw.UpstreamID
+	dispatched  []jdaw.UpstreamID // upstreams of all dispatches
 	unreachable []jdaw.UpstreamID // failed to connect twice
 	mayHaveRun  bool              // an upstream may have run the request
 	upstream    jdaw.UpstreamID
