--- a/gate/process.go
+++ b/gate/process.go
@@ -12,6 +12,7 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 	"google.golang.org/grpc"
 
@@ -122,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := p.countRejectedEntries(instruments); err != nil {
+	if err := p.observeStore(instruments); err != nil {
 		return nil, err
 	}
 	p.loads = loads.New(loads.Config{
@@ -140,15 +141,32 @@
 	return p, p.listen(metrics)
 }
 
-// countRejectedEntries serves the number of malformed entries of the store.
-func (p *Process) countRejectedEntries(m metric.Meter) error {
+// callCounter is implemented by stores that count their calls by kind.
+type callCounter interface{ Calls() map[string]int64 }
+
+// observeStore serves the calls to the store and its malformed entries.
+func (p *Process) observeStore(m metric.Meter) error {
 	_, err := m.Int64ObservableCounter("store_rejected_entries",
 		metric.WithDescription("entries of the store that were rejected as malformed"),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 			o.Observe(p.node.RejectedEntries())
 			return nil
 		}))
-	return errors.Wrap(err, "create store_rejected_entries")
+	if err != nil {
+		return errors.Wrap(err, "create store_rejected_entries")
+	}
+	counter, ok := p.cfg.Store.(callCounter)
+	if !ok {
+		return nil
+	}
+	_, err = m.Int64ObservableCounter("store_calls", metric.WithDescription("calls to the store by kind"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for kind, n := range counter.Calls() {
+				o.Observe(n, metric.WithAttributes(attribute.String("kind", kind)))
+			}
+			return nil
+		}))
+	return errors.Wrap(err, "create store_calls")
 }
 
 // bodyShare is the part of the process's memory limit that bodies may take.
