relay: count the memory of an event beside that of the request

Cause: an event's memory was reserved as the total of the request, so that a request with a body reserved less than it held.

Change: the body's part is added.

Before and after: TestEndlessBodies passes.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -218,8 +218,10 @@
 func (s *streaming) forwardEvents(a *attempt) error {
 	c := s.c
 	r := bufio.NewReaderSize(a.response.Body, eventBuffer)
+	held := c.memory.bytes
 	for {
-		event, id, err := readEvent(r, &c.memory)
+		// The slice of an event doubles when it grows.
+		event, id, err := readEvent(r, func(size int) error { return c.memory.grow(held + 2*int64(size)) })
 		if err == io.EOF {
 			a.last = time.Now()
 			s.writeHead(a)
@@ -315,15 +317,14 @@
 }
 
 // readEvent reads one event with its blank line. It returns io.EOF only at an
-// end between events.
-func readEvent(r *bufio.Reader, memory *heldMemory) (event []byte, id string, err error) {
+// end between events. grow reserves memory for an event of a size in bytes.
+func readEvent(r *bufio.Reader, grow func(size int) error) (event []byte, id string, err error) {
 	for {
 		line, err := r.ReadSlice('\n')
 		if len(event)+len(line) > maxEvent {
 			return nil, "", errLongEvent
 		}
-		// The slice doubles when it grows.
-		if growErr := memory.grow(2 * int64(len(event)+len(line))); growErr != nil {
+		if growErr := grow(len(event) + len(line)); growErr != nil {
 			return nil, "", growErr
 		}
 		event = append(event, line...)
