--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -403,6 +403,10 @@
 		"outcome": v.outcome, "attempt": c.dispatches, "mayRetry": v.mayRetry, "tookMs": time.Since(a.sentAt).Milliseconds(),
 		"revision": c.x.cfg.Fleet.State().Table.Revision, "candidates": a.reservation.candidates, "inUse": a.reservation.inUse,
 	}
+	if c.streaming != nil {
+		fields["events"] = a.events
+		fields["sharedParts"] = sharedPartIDs(c.info.Prompt)
+	}
 	if a.response != nil {
 		fields["status"] = a.response.Status
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -181,6 +181,16 @@
 	return parts[len(parts)-2].ID
 }
 
+// sharedPartIDs returns the IDs of the parts that other requests may share: all
+// but the last.
+func sharedPartIDs(parts []jdaw.PromptPart) []string {
+	var ids []string
+	for i := 0; i+1 < len(parts); i++ {
+		ids = append(ids, parts[i].ID)
+	}
+	return ids
+}
+
 // timeLimit returns the time within which the response must be complete.
 func (c *call) timeLimit() time.Duration {
 	limit := defaultTimeout
