poison: quarantine prompt parts that crash upstreams

Cause: the relay judged upstreams, never requests. Retries and later requests carried the part on, and no VM knew of the crashes that others caused. Ruled out: load of cold upstreams (each crash had an attempt with the part that brought no event), retries alone (half of the late attempts were first ones).

Change: VMs exchange, with their backlogs, the requests that were at an upstream when its process ended and the parts answered lately. Aggregators quarantine a part that crashed a chain of processes and was never answered. Requests with it get 1314 at once. The store keeps the quarantine; entries that expire in an outage are written again.

Why it works: a part that is sound is answered somewhere, which clears it; crashes with a common cause form no chain, since their requests were sent before.

--- a/codes.go
+++ b/codes.go
@@ -70,6 +70,7 @@
 	CodeNoUpstream       Code = 1311
 	CodeNoCopy           Code = 1312
 	CodeNoMemory         Code = 1313
+	CodeQuarantined      Code = 1314
 
 	CodeUpstreamFailed     Code = 1401
 	CodeUpstreamRefused    Code = 1402
@@ -136,6 +137,7 @@
 	{CodeNoUpstream, "noUpstream", http.StatusServiceUnavailable, NotRun, RetryLater, "No upstream in service offers an allowed version."},
 	{CodeNoCopy, "noCopy", http.StatusServiceUnavailable, NotRun, RetryYes, "No other VM could take a copy of the request's record."},
 	{CodeNoMemory, "noMemory", http.StatusServiceUnavailable, NotRun, RetryYes, "The VM holds too many bodies to read another one; another VM may serve."},
+	{CodeQuarantined, "quarantined", http.StatusServiceUnavailable, NotRun, RetryLater, "A part of the prompt crashes upstreams and is kept from them for a time."},
 	{CodeUpstreamFailed, "upstreamFailed", http.StatusBadGateway, DidRun, RetryIdempotent, "The upstream ran the request and failed."},
 	{CodeUpstreamRefused, "upstreamRefused", http.StatusServiceUnavailable, NotRun, RetryLater, "Every upstream that was tried refused the request without running it."},
 	{CodeUpstreamConnection, "upstreamConnection", http.StatusBadGateway, NotRun, RetryYes, "No connection to the upstream could be made."},
--- a/dial/pool.go
+++ b/dial/pool.go
@@ -16,6 +16,9 @@
 	// connectTimeout is far above the round trip between data centres, 3 ms, and leaves
 	// time for another upstream within the tightest target, 100 ms.
 	connectTimeout = 300 * time.Millisecond
+	// refusalTimeout limits the time to find out whether connections are refused; a
+	// retry waits for it.
+	refusalTimeout = 100 * time.Millisecond
 	// userTimeout closes a connection with unacknowledged bytes. Otherwise a request
 	// on a partitioned link would wait until its deadline.
 	userTimeout = 1500 * time.Millisecond
@@ -120,6 +123,20 @@
 	return newConn(nc, addr), nil
 }
 
+// Refuses reports whether connections to an address are refused, as they are when
+// the process there has ended. A connection that is made is kept for the next
+// request.
+func (p *Pool) Refuses(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	c, err := p.connect(ctx, addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.put(c, 0)
+	return false
+}
+
 // put returns a connection to the pool.
 func (p *Pool) put(c *conn, idleTime time.Duration) {
 	if idleTime <= 0 || idleTime > p.cfg.IdleTime {
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -71,6 +71,18 @@
 // EventName implements [jdaw.Event].
 func (DataCentreOrdered) EventName() string { return "dataCentreOrdered" }
 
+// QuarantineSeen is a prompt part that is kept from the upstreams of a service.
+type QuarantineSeen struct{ Quarantine jdaw.Quarantine }
+
+// EventName implements [jdaw.Event].
+func (QuarantineSeen) EventName() string { return "quarantineSeen" }
+
+// QuarantineGone says that a quarantine has expired or was lifted.
+type QuarantineGone struct{ Key jdaw.PromptPartKey }
+
+// EventName implements [jdaw.Event].
+func (QuarantineGone) EventName() string { return "quarantineGone" }
+
 // RolloutOrdered is an order to move a service to a version.
 type RolloutOrdered struct {
 	Service  string
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -43,6 +44,8 @@
 	members          map[string]Member
 	expiredMembers   map[string]time.Time // members that expired in an outage
 	rollouts         map[string]*rollout
+	quarantined      map[jdaw.PromptPartKey]jdaw.Quarantine
+	lapsed           map[jdaw.PromptPartKey]jdaw.Quarantine // entries that expired in an outage
 	// reports and steps are the revisions of the last writes about roll-outs, by
 	// service. An evaluator writes only if nobody has written since.
 	reports    map[string]uint64
@@ -62,6 +65,8 @@
 	members   map[string]bool
 	out       map[jdaw.DataCentre]bool
 	orders    map[string]bool
+	// quarantined are the prompt parts whose quarantines were seen.
+	quarantined map[jdaw.PromptPartKey]bool
 }
 
 // NewMachine returns a machine with empty state.
@@ -77,6 +82,8 @@
 		members:          map[string]Member{},
 		expiredMembers:   map[string]time.Time{},
 		rollouts:         map[string]*rollout{},
+		quarantined:      map[jdaw.PromptPartKey]jdaw.Quarantine{},
+		lapsed:           map[jdaw.PromptPartKey]jdaw.Quarantine{},
 		reports:          map[string]uint64{},
 		steps:            map[string]uint64{},
 	}
@@ -95,6 +102,7 @@
 		m.reload = &reload{
 			outage: ev.Outage, upstreams: map[jdaw.UpstreamID]bool{}, members: map[string]bool{},
 			out: map[jdaw.DataCentre]bool{}, orders: map[string]bool{},
+			quarantined: map[jdaw.PromptPartKey]bool{},
 		}
 	case RoutesSeen:
 		m.routesSeen(ev.Table)
@@ -108,6 +116,10 @@
 		m.memberSeen(ev)
 	case MemberGone:
 		m.memberGone(at, ev.VM)
+	case QuarantineSeen:
+		m.quarantineSeen(at, ev.Quarantine)
+	case QuarantineGone:
+		m.quarantineGone(at, ev.Key)
 	case RolloutOrdered:
 		m.rolloutOrdered(at, ev)
 	case RolloutReported:
@@ -231,6 +243,11 @@
 			m.restoreDataCentre(at, dc)
 		}
 	}
+	for key := range m.quarantined {
+		if !r.quarantined[key] {
+			m.quarantineGone(at, key)
+		}
+	}
 	for service := range m.rollouts {
 		if !r.orders[service] {
 			m.rolloutOrdered(at, RolloutOrdered{Service: service, Removed: true})
@@ -281,6 +298,7 @@
 	for service, r := range m.rollouts {
 		st.Rollouts[service] = r.Rollout
 	}
+	st.Quarantined, st.LapsedQuarantines = maps.Clone(m.quarantined), maps.Clone(m.lapsed)
 	for _, member := range m.members {
 		st.Members = append(st.Members, member)
 	}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -19,9 +19,10 @@
 
 // Keys of this system in the store.
 const (
-	memberPrefix  = "jdaw/vm/"
-	countsPrefix  = "jdaw/counts/"
-	rolloutPrefix = "jdaw/rollout/"
+	memberPrefix     = "jdaw/vm/"
+	countsPrefix     = "jdaw/counts/"
+	rolloutPrefix    = "jdaw/rollout/"
+	quarantinePrefix = "jdaw/quarantine/"
 )
 
 const (
@@ -145,6 +146,8 @@
 			return MemberGone{VM: strings.TrimPrefix(c.Key, memberPrefix)}, nil
 		}
 		return decodeMember(c)
+	case strings.HasPrefix(c.Key, quarantinePrefix):
+		return decodeQuarantine(c)
 	case c.Removed:
 		return nil, nil
 	case strings.HasPrefix(c.Key, countsPrefix):
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -16,6 +16,10 @@
 	Members   []Member
 	// Baseline is the version of each service that runs without a roll-out.
 	Baseline map[string]string
+	// Quarantined are the prompt parts that are kept from upstreams.
+	Quarantined map[jdaw.PromptPartKey]jdaw.Quarantine
+	// LapsedQuarantines had entries that expired in an outage of the store.
+	LapsedQuarantines map[jdaw.PromptPartKey]jdaw.Quarantine
 }
 
 // Member is a VM that registered.
--- a/gate/process.go
+++ b/gate/process.go
@@ -27,6 +27,7 @@
 	"jackdawbarrow/loop"
 	"jackdawbarrow/meter"
 	"jackdawbarrow/peers"
+	"jackdawbarrow/poison"
 	"jackdawbarrow/relay"
 	"jackdawbarrow/wire"
 )
@@ -80,6 +81,7 @@
 	auxServers []*http.Server
 	feed       *feed.Feed
 	loads      *loads.Node
+	poison     *poison.Detector
 	peers      *grpc.Server
 	draining   atomic.Bool
 	wg         conc.WaitGroup
@@ -89,7 +91,7 @@
 // New starts the process of an entry VM.
 func New(cfg Config) (*Process, error) {
 	s := cfg.Settings
-	p := &Process{cfg: cfg, pool: dial.New(dial.Config{})}
+	p := &Process{cfg: cfg, pool: dial.New(dial.Config{}), poison: poison.New(poison.Config{Log: cfg.Log})}
 	machine := fleet.NewMachine(fleet.MachineConfig{Self: s.VM, Region: s.Region, DataCentres: s.DataCentres, Exposure: s.Exposure})
 	post := func(ev jdaw.Event) { p.loop.Post(ev) }
 	p.guard = guard.New(guard.Config{Suspend: func(sus jdaw.Suspension) {
@@ -127,14 +129,14 @@
 		return nil, err
 	}
 	p.loads = loads.New(loads.Config{
-		Self: self, State: p.node.State, Log: cfg.Log,
+		Self: self, State: p.node.State, Poison: p.poison, Quarantine: p.node.Quarantine, Log: cfg.Log,
 		Own: func() jdaw.Backlog {
 			<-ready
 			return p.relay.Backlog()
 		},
 	})
 	p.relay = relay.New(relay.Config{
-		Self: s.VM, Fleet: p.node, Protocol: cfg.Protocol, Pool: p.pool, Planner: p.casc, Learner: p.casc, Backlogs: p.loads,
+		Self: s.VM, Fleet: p.node, Protocol: cfg.Protocol, Pool: p.pool, Planner: p.casc, Learner: p.casc, Backlogs: p.loads, Poison: p.poison,
 		QualityTarget: s.QualityTarget, BodyMemory: bodyMemory(s.MemoryMB), Metrics: observed, Log: cfg.Log,
 	})
 	close(ready)
@@ -186,6 +188,7 @@
 	p.casc.Execute(a)
 	if published, ok := a.(fleet.Publish); ok {
 		p.relay.Forget(published.State)
+		p.poison.Stored(time.Now(), published.State.Quarantined, published.State.LapsedQuarantines)
 		p.logState(published.State)
 	}
 }
--- a/loads/node.go
+++ b/loads/node.go
@@ -14,6 +14,7 @@
 	"jackdawbarrow"
 	"jackdawbarrow/fleet"
 	"jackdawbarrow/peers"
+	"jackdawbarrow/poison"
 	"jackdawbarrow/wire"
 )
 
@@ -36,7 +37,11 @@
 	Self  fleet.Member
 	State func() *fleet.State
 	Own   func() jdaw.Backlog // of this VM
-	Log   logrus.FieldLogger
+	// Poison holds the evidence against prompt parts that crash upstreams.
+	Poison *poison.Detector
+	// Quarantine writes a quarantine to the store. It doesn't block.
+	Quarantine func(q jdaw.Quarantine)
+	Log        logrus.FieldLogger
 }
 
 // Node exchanges backlogs with other VMs. It implements [wire.LoadsServer].
@@ -58,6 +63,12 @@
 
 // New starts the exchange.
 func New(cfg Config) *Node {
+	if cfg.Poison == nil {
+		cfg.Poison = poison.New(poison.Config{Log: cfg.Log})
+	}
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = func(jdaw.Quarantine) {}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg: cfg, conns: peers.NewConnections(), ctx: ctx, cancel: cancel,
@@ -65,12 +76,24 @@
 	}
 	n.wg.Go(func() {
 		for n.ctx.Err() == nil {
-			jdaw.Sleep(n.ctx, n.exchange())
+			n.pause(n.exchange())
 		}
 	})
 	return n
 }
 
+// pause waits for the next exchange; new evidence of crashes shortens the wait.
+func (n *Node) pause(d time.Duration) {
+	jdaw.Sleep(n.ctx, min(d, minPeriod))
+	t := time.NewTimer(max(d-minPeriod, 0))
+	defer t.Stop()
+	select {
+	case <-n.ctx.Done():
+	case <-n.cfg.Poison.Changed():
+	case <-t.C:
+	}
+}
+
 // Close ends the exchange.
 func (n *Node) Close() {
 	n.cancel()
@@ -109,17 +132,47 @@
 	now := time.Now()
 	aggregators, vms := aggregatorsOf(st, func(vm jdaw.VMID) bool { return now.Before(n.avoided[vm]) })
 	aggregator, ok := aggregators[n.cfg.Self.DataCentre]
+	period := periodOf(vms[n.cfg.Self.DataCentre])
 	switch {
 	case !ok:
+		n.decide()
 	case aggregator.VM == n.cfg.Self.VM:
-		n.exchangeAsAggregator(st, aggregators)
+		n.exchangeAsAggregator(st, aggregators, period)
+		n.decide()
 	default:
-		if reply := n.call(aggregator, n.cfg.Own()); reply != nil {
+		if reply := n.call(aggregator, n.cfg.Own(), period); reply != nil {
 			n.lastReport.Store(&fleetReport{
 				others: decode(reply.GetOthers()), outliers: decodeOutliers(reply.GetSuspects()), at: time.Now(),
 			})
+			n.cfg.Poison.Report(time.Now(), decodeKeys(reply.GetQuarantined()))
+		} else {
+			n.decide()
 		}
 	}
+	return period
+}
+
+// decide quarantines prompt parts by the evidence that this VM has. Aggregators
+// do so, and VMs that reach none.
+func (n *Node) decide() {
+	now := time.Now()
+	n.cfg.Poison.Decide(now)
+	for _, q := range n.cfg.Poison.Unstored(now) {
+		n.cfg.Quarantine(q)
+	}
+}
+
+// answersFor is the time for which an answer is told in each message: a message
+// may be lost.
+func answersFor(period time.Duration) time.Duration { return 2*period + callTimeout }
+
+// period returns the time between two exchanges of this VM.
+func (n *Node) period() time.Duration {
+	st := n.cfg.State()
+	if st == nil {
+		return minPeriod
+	}
+	_, vms := aggregatorsOf(st, func(jdaw.VMID) bool { return false })
 	return periodOf(vms[n.cfg.Self.DataCentre])
 }
 
@@ -147,7 +200,7 @@
 // exchangeAsAggregator exchanges the sum of the data centre with those later in
 // the order of names; the others call this one. It finds the outliers for all
 // VMs of the data centre.
-func (n *Node) exchangeAsAggregator(st *fleet.State, aggregators map[jdaw.DataCentre]fleet.Member) {
+func (n *Node) exchangeAsAggregator(st *fleet.State, aggregators map[jdaw.DataCentre]fleet.Member, period time.Duration) {
 	own := n.cfg.Own()
 	n.mu.Lock()
 	sum := n.table.own(time.Now(), own)
@@ -156,7 +209,9 @@
 		if dc <= n.cfg.Self.DataCentre {
 			continue
 		}
-		if reply := n.call(aggregator, sum); reply != nil {
+		if reply := n.call(aggregator, sum, period); reply != nil {
+			now := time.Now()
+			n.cfg.Poison.Merge(now, decodeEvidence(now, reply.GetEvidence()), false)
 			n.mu.Lock()
 			n.table.updateDataCentre(time.Now(), dc, decode(reply.GetOthers()))
 			n.mu.Unlock()
@@ -192,14 +247,16 @@
 }
 
 // call sends a backlog to an aggregator and returns its reply, or nil after an error.
-func (n *Node) call(aggregator fleet.Member, backlog jdaw.Backlog) *wire.ExchangeBacklogReply {
+func (n *Node) call(aggregator fleet.Member, backlog jdaw.Backlog, period time.Duration) *wire.ExchangeBacklogReply {
 	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
 	defer cancel()
+	now := time.Now()
 	conn, err := n.conns.Conn(aggregator.Peers, time.Now())
 	var reply *wire.ExchangeBacklogReply
 	if err == nil {
 		reply, err = wire.NewLoadsClient(conn).ExchangeBacklog(ctx, &wire.ExchangeBacklogRequest{
 			Vm: string(n.cfg.Self.VM), DataCentre: string(n.cfg.Self.DataCentre), Own: encode(backlog),
+			Evidence: encodeEvidence(now, n.cfg.Poison.Evidence(now, answersFor(period))),
 		})
 	}
 	if err != nil {
@@ -218,14 +275,20 @@
 		return nil, errors.New("the backlog has no VM, or lists of unequal length")
 	}
 	backlog, own := decode(q.GetOwn()), n.cfg.Own()
+	now := time.Now()
+	dc := jdaw.DataCentre(q.GetDataCentre())
+	n.cfg.Poison.Merge(now, decodeEvidence(now, q.GetEvidence()), dc == n.cfg.Self.DataCentre)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
-	if dc := jdaw.DataCentre(q.GetDataCentre()); dc != n.cfg.Self.DataCentre {
+	if dc != n.cfg.Self.DataCentre {
 		n.table.updateDataCentre(now, dc, backlog)
-		return &wire.ExchangeBacklogReply{Others: encode(n.table.own(now, own))}, nil
+		evidence := n.cfg.Poison.Evidence(now, answersFor(n.period()))
+		return &wire.ExchangeBacklogReply{Others: encode(n.table.own(now, own)), Evidence: encodeEvidence(now, evidence)}, nil
+	}
+	reply := &wire.ExchangeBacklogReply{
+		Others:      encodeTokens(n.table.updateVM(now, jdaw.VMID(q.GetVm()), backlog, own)),
+		Quarantined: encodeKeys(n.cfg.Poison.Keys(now)),
 	}
-	reply := &wire.ExchangeBacklogReply{Others: encodeTokens(n.table.updateVM(now, jdaw.VMID(q.GetVm()), backlog, own))}
 	// A VM that is no aggregator in its own view forwards the outliers that its aggregator reported.
 	if known := n.recent(); known != nil {
 		for key := range known.outliers {
--- a/loads/node_test.go
+++ b/loads/node_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
+	"reflect"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,9 +21,10 @@
 
 // testVM is a VM with a backlog that the test sets.
 type testVM struct {
-	node *Node
-	own  atomic.Pointer[jdaw.Backlog]
-	srv  *grpc.Server
+	node   *Node
+	own    atomic.Pointer[jdaw.Backlog]
+	stored atomic.Int32 // quarantines to be written
+	srv    *grpc.Server
 }
 
 // startVMs starts VMs that know each other, some in each data centre, and a
@@ -47,7 +50,10 @@
 	for _, m := range st.Members {
 		v := &testVM{srv: grpc.NewServer()}
 		v.own.Store(&jdaw.Backlog{})
-		v.node = New(Config{Self: m, State: func() *fleet.State { return st }, Own: func() jdaw.Backlog { return *v.own.Load() }, Log: log})
+		v.node = New(Config{
+			Self: m, State: func() *fleet.State { return st }, Own: func() jdaw.Backlog { return *v.own.Load() },
+			Quarantine: func(jdaw.Quarantine) { v.stored.Add(1) }, Log: log,
+		})
 		wire.RegisterLoadsServer(v.srv, v.node)
 		l := listeners[m.VM]
 		go func() { _ = v.srv.Serve(l) }() // ends with Stop
@@ -145,3 +151,61 @@
 		})
 	}
 }
+
+// Guards against crashes that VMs of several data centres see one at a time, so
+// that none of them learns which prompt part causes them, and against a decision
+// that doesn't reach all VMs or the store.
+func TestCrashesSeenByDifferentVMsMeet(t *testing.T) {
+	vms, _ := startVMs(t, map[jdaw.DataCentre]int{"largs": 3, "oban": 3, "stranraer": 2})
+	began := time.Now()
+	at := func(ms int) time.Time { return began.Add(time.Duration(ms-1000) * time.Millisecond) }
+	for i, vm := range []jdaw.VMID{"largs0", "oban1", "stranraer1", "oban2"} {
+		vms[vm].node.cfg.Poison.Crashed(time.Now(), jdaw.Crash{
+			Process: uint64(i), Request: uint64(i), Service: "desk", Sent: at(200*i + 50), Ended: at(200*i + 200),
+			Parts: []jdaw.SuspectPart{jdaw.NewSuspectPart("desk", "team"), jdaw.NewSuspectPart("desk", "bad")},
+		})
+	}
+	vms["largs2"].node.cfg.Poison.Answered(time.Now(), "desk", []string{"team"})
+	for vm, v := range vms {
+		isQuarantined := func(part string) bool {
+			_, ok := v.node.cfg.Poison.Find(time.Now(), "desk", []string{part})
+			return ok
+		}
+		for end := time.Now().Add(10 * time.Second); !isQuarantined("bad"); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s doesn't know the quarantine", vm)
+			}
+		}
+		if isQuarantined("team") {
+			t.Errorf("%s quarantines a part that was answered", vm)
+		}
+	}
+	if vms["oban0"].stored.Load()+vms["oban1"].stored.Load()+vms["oban2"].stored.Load() == 0 {
+		t.Error("no VM of a data centre wrote the quarantine")
+	}
+}
+
+// Guards against evidence that other VMs cannot read, or that is malformed.
+func TestEvidenceOnTheWire(t *testing.T) {
+	now := time.Now()
+	part := jdaw.NewSuspectPart("desk", "bad")
+	sent := jdaw.CrashEvidence{
+		Crashes:  []jdaw.Crash{{Process: 1, Request: 2, Service: "desk", Sent: now.Add(-2 * time.Second), Ended: now.Add(-time.Second), Parts: []jdaw.SuspectPart{part}}},
+		Answered: map[jdaw.PromptPartKey]time.Time{3: now.Add(-500 * time.Millisecond)},
+	}
+	w := encodeEvidence(now, sent)
+	if got := decodeEvidence(now, w); !reflect.DeepEqual(got, sent) {
+		t.Errorf("decoded %+v, sent %+v", got, sent)
+	}
+	odd := &wire.CrashEvidence{
+		Crashes:  []*wire.Crash{{Parts: []uint64{1, 2}, PartIds: []string{"a"}}, {}, nil, {Parts: make([]uint64, 1000), PartIds: make([]string, 1000)}},
+		Answered: []uint64{1, 2}, AnsweredAgeMs: []uint32{1},
+	}
+	if got := decodeEvidence(now, odd); len(got.Crashes)+len(got.Answered) != 0 {
+		t.Errorf("malformed evidence is read as %+v", got)
+	}
+	old := decodeEvidence(now, &wire.CrashEvidence{Answered: []uint64{1}, AnsweredAgeMs: []uint32{math.MaxUint32}})
+	if age := now.Sub(old.Answered[1]); age != maxEvidenceAge {
+		t.Errorf("an age of 50 days is read as %s", age)
+	}
+}
--- /dev/null
+++ b/poison/detector.go
@@ -0,0 +1,368 @@
+package poison
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"jackdawbarrow"
+)
+
+const (
+	// answerMemory is the time for which an answer clears the parts of a request.
+	// It bridges the gaps between requests with rare parts while crashes of other
+	// requests cut them off.
+	answerMemory = 10 * time.Second
+	// crashMemory bounds the time in which the crashes of one part must happen.
+	crashMemory = 10 * time.Minute
+	// maxCrashes and maxAnswered bound the evidence that is kept; callers choose
+	// the IDs of parts.
+	maxCrashes  = 512
+	maxAnswered = 1 << 14
+	// maxSentCrashes and maxSentAnswers bound the evidence in a message.
+	maxSentCrashes = 64
+	maxSentAnswers = 1024
+	// maxQuarantined bounds the quarantines that evidence may cause at once: more
+	// of them mean that the upstreams have another fault.
+	maxQuarantined = 16
+	// reportTime is the time for which the quarantines that another VM reported
+	// hold without another report.
+	reportTime = 1500 * time.Millisecond
+	// storeRetryTime is the time until a quarantine that isn't in the store is
+	// written again.
+	storeRetryTime = 2 * time.Second
+	// expiryInterval is the time between two searches for expired answers.
+	expiryInterval = time.Second
+)
+
+// Config configures a Detector.
+type Config struct {
+	Log logrus.FieldLogger
+}
+
+// Detector holds the evidence against prompt parts and the quarantines in force.
+// It is safe for concurrent use.
+type Detector struct {
+	cfg     Config
+	changed chan struct{} // new evidence to be passed on
+
+	mu       sync.Mutex
+	crashes  []evidence
+	answered map[jdaw.PromptPartKey]answer
+	// companions are parts that were in every request with a quarantined part, and
+	// explained the processes that quarantined parts crashed.
+	companions map[jdaw.PromptPartKey]time.Time
+	explained  map[uint64]time.Time
+	decided    map[jdaw.PromptPartKey]decision
+	stored     map[jdaw.PromptPartKey]jdaw.Quarantine
+	reported   map[jdaw.PromptPartKey]bool
+	reportedAt time.Time
+	expiredAt  time.Time // last search for expired answers
+}
+
+// evidence is a crash and whether a VM of this data centre saw it.
+type evidence struct {
+	jdaw.Crash
+	isLocal bool
+}
+
+// answer is the last answer to a part and the last one that a VM of this data
+// centre saw.
+type answer struct {
+	at, localAt time.Time
+}
+
+// decision is a quarantine that this VM decided.
+type decision struct {
+	jdaw.Quarantine
+	writtenAt time.Time
+}
+
+// New returns a detector without evidence.
+func New(cfg Config) *Detector {
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	return &Detector{
+		cfg: cfg, changed: make(chan struct{}, 1), answered: map[jdaw.PromptPartKey]answer{},
+		companions: map[jdaw.PromptPartKey]time.Time{}, explained: map[uint64]time.Time{},
+		decided: map[jdaw.PromptPartKey]decision{},
+	}
+}
+
+// Changed signals evidence that other VMs should get at once.
+func (d *Detector) Changed() <-chan struct{} { return d.changed }
+
+// Crashed records a request that was at an upstream when its process ended.
+func (d *Detector) Crashed(at time.Time, c jdaw.Crash) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.addCrash(at, evidence{Crash: c, isLocal: true})
+}
+
+// Answered records that an upstream has begun to answer a request.
+func (d *Detector) Answered(at time.Time, service string, parts []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.addAnswer(at, jdaw.PromptPartKeyOf(service, ""), true)
+	for _, id := range parts {
+		d.addAnswer(at, jdaw.PromptPartKeyOf(service, id), true)
+	}
+}
+
+// Find returns the quarantine of the first of the parts that has one.
+func (d *Detector) Find(at time.Time, service string, parts []string) (jdaw.Quarantine, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, id := range parts {
+		part := jdaw.NewSuspectPart(service, id)
+		if q, ok := d.quarantineOf(at, part.Key); ok {
+			q.Part, q.Service = part, service
+			return q, true
+		}
+	}
+	return jdaw.Quarantine{}, false
+}
+
+func (d *Detector) quarantineOf(at time.Time, key jdaw.PromptPartKey) (jdaw.Quarantine, bool) {
+	if q, ok := d.decided[key]; ok && at.Before(q.Until) {
+		return q.Quarantine, true
+	}
+	if q, ok := d.stored[key]; ok {
+		return q, true
+	}
+	isReported := d.reported[key] && at.Sub(d.reportedAt) < reportTime
+	return jdaw.Quarantine{Until: at.Add(jdaw.QuarantineTime)}, isReported
+}
+
+// Evidence returns what VMs of this data centre saw: all crashes, and the parts
+// answered within a time.
+func (d *Detector) Evidence(at time.Time, within time.Duration) jdaw.CrashEvidence {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(at)
+	e := jdaw.CrashEvidence{Answered: map[jdaw.PromptPartKey]time.Time{}}
+	for i := len(d.crashes) - 1; i >= 0 && len(e.Crashes) < maxSentCrashes; i-- {
+		if d.crashes[i].isLocal {
+			e.Crashes = append(e.Crashes, d.crashes[i].Crash)
+		}
+	}
+	for key, a := range d.answered {
+		if at.Sub(a.localAt) < within && len(e.Answered) < maxSentAnswers {
+			e.Answered[key] = a.localAt
+		}
+	}
+	return e
+}
+
+// Merge adds the evidence of other VMs. isLocal is set for those of this data
+// centre.
+func (d *Detector) Merge(at time.Time, e jdaw.CrashEvidence, isLocal bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, answeredAt := range e.Answered {
+		d.addAnswer(answeredAt, key, isLocal)
+	}
+	for _, c := range e.Crashes {
+		d.addCrash(at, evidence{Crash: c, isLocal: isLocal})
+	}
+}
+
+// Report replaces the quarantines that another VM reports.
+func (d *Detector) Report(at time.Time, keys []jdaw.PromptPartKey) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reportedAt = at
+	d.reported = make(map[jdaw.PromptPartKey]bool, len(keys))
+	for _, key := range keys {
+		d.reported[key] = true
+	}
+	d.explainQuarantined(at)
+}
+
+// Stored replaces the quarantines in the store. One that was removed there ends
+// here too, unless it has lapsed: then it stays in force and is written again.
+func (d *Detector) Stored(at time.Time, quarantines, lapsed map[jdaw.PromptPartKey]jdaw.Quarantine) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, q := range d.stored {
+		if _, ok := quarantines[key]; ok {
+			continue
+		}
+		if _, ok := lapsed[key]; ok {
+			d.decided[key] = decision{Quarantine: q}
+			continue
+		}
+		delete(d.decided, key)
+		d.cfg.Log.WithFields(logrus.Fields{"service": q.Service, "part": q.Part.ID}).Info("quarantine of a prompt part ended")
+	}
+	d.stored = maps.Clone(quarantines)
+	d.explainQuarantined(at)
+}
+
+// Keys returns the quarantines in force that this VM decided or read from the
+// store.
+func (d *Detector) Keys(at time.Time) []jdaw.PromptPartKey {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var keys []jdaw.PromptPartKey
+	for key := range d.stored {
+		keys = append(keys, key)
+	}
+	for key, q := range d.decided {
+		if _, ok := d.stored[key]; !ok && at.Before(q.Until) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// Unstored returns the decided quarantines that must be written to the store
+// now.
+func (d *Detector) Unstored(at time.Time) []jdaw.Quarantine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []jdaw.Quarantine
+	for key, q := range d.decided {
+		if _, ok := d.stored[key]; ok || at.Sub(q.writtenAt) < storeRetryTime || !at.Before(q.Until) {
+			continue
+		}
+		q.writtenAt = at
+		d.decided[key] = q
+		list = append(list, q.Quarantine)
+	}
+	return list
+}
+
+// The methods below are called with mu held.
+
+func (d *Detector) addAnswer(at time.Time, key jdaw.PromptPartKey, isLocal bool) {
+	a, isKnown := d.answered[key]
+	if at.After(a.at) {
+		a.at = at
+	}
+	if isLocal && at.After(a.localAt) {
+		a.localAt = at
+	}
+	if isKnown || len(d.answered) < maxAnswered {
+		d.answered[key] = a
+	}
+	delete(d.companions, key)
+	d.clear(key, a.at)
+}
+
+// clear removes a part from the crashes that an answer clears it of.
+func (d *Detector) clear(key jdaw.PromptPartKey, answeredAt time.Time) {
+	for i, c := range d.crashes {
+		if isCleared(answeredAt, c.Ended) {
+			d.crashes[i].Crash = c.WithParts(without(c.Parts, key))
+		}
+	}
+}
+
+// isCleared reports whether an answer clears a part of a crash.
+func isCleared(answeredAt, crashedAt time.Time) bool {
+	return !answeredAt.IsZero() && crashedAt.Sub(answeredAt) < answerMemory
+}
+
+func without(parts []jdaw.SuspectPart, key jdaw.PromptPartKey) []jdaw.SuspectPart {
+	for i := range parts {
+		if parts[i].Key == key {
+			return append(append([]jdaw.SuspectPart(nil), parts[:i]...), parts[i+1:]...)
+		}
+	}
+	return parts
+}
+
+// addCrash adds a crash unless it is known or explained.
+func (d *Detector) addCrash(at time.Time, c evidence) {
+	d.expire(at)
+	if _, ok := d.explained[c.Process]; ok || at.Sub(c.Ended) > crashMemory {
+		return
+	}
+	var suspects []jdaw.SuspectPart
+	for _, p := range c.Parts {
+		if _, ok := d.quarantineOf(at, p.Key); ok {
+			d.explain(at, c.Process)
+			return
+		}
+		if !isCleared(d.answered[p.Key].at, c.Ended) {
+			suspects = append(suspects, p)
+		}
+	}
+	for _, known := range d.crashes {
+		if known.Process == c.Process && known.Request == c.Request {
+			return
+		}
+	}
+	if len(suspects) == 0 {
+		return
+	}
+	c.Crash = c.WithParts(suspects)
+	d.crashes = append(d.crashes, c)
+	d.crashes = d.crashes[max(0, len(d.crashes)-maxCrashes):]
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
+}
+
+// explain drops the evidence of a process that a quarantined part crashed.
+func (d *Detector) explain(at time.Time, process uint64) {
+	d.explained[process] = at
+	kept := d.crashes[:0]
+	for _, c := range d.crashes {
+		if c.Process != process {
+			kept = append(kept, c)
+		}
+	}
+	d.crashes = kept
+}
+
+// explainQuarantined drops the evidence that the quarantines in force explain.
+func (d *Detector) explainQuarantined(at time.Time) {
+	explained := map[uint64]bool{}
+	for _, c := range d.crashes {
+		for _, p := range c.Parts {
+			if _, ok := d.quarantineOf(at, p.Key); ok {
+				explained[c.Process] = true
+			}
+		}
+	}
+	for process := range explained {
+		d.explain(at, process)
+	}
+}
+
+// expire drops what is too old.
+func (d *Detector) expire(at time.Time) {
+	for len(d.crashes) > 0 && at.Sub(d.crashes[0].Ended) > crashMemory {
+		d.crashes = d.crashes[1:]
+	}
+	for process, since := range d.explained {
+		if at.Sub(since) > crashMemory {
+			delete(d.explained, process)
+		}
+	}
+	for key, since := range d.companions {
+		if at.Sub(since) > crashMemory {
+			delete(d.companions, key)
+		}
+	}
+	for key, q := range d.decided {
+		if !at.Before(q.Until) {
+			delete(d.decided, key)
+		}
+	}
+	if at.Sub(d.expiredAt) < expiryInterval {
+		return
+	}
+	d.expiredAt = at
+	for key, a := range d.answered {
+		if at.Sub(a.at) > answerMemory {
+			delete(d.answered, key)
+		}
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -104,6 +104,9 @@
 func (c *call) dispatch(model, resumeAfter string, limit time.Duration) (*attempt, error) {
 	st := c.x.cfg.Fleet.State()
 	at := time.Now()
+	if err := c.checkQuarantine(at); err != nil {
+		return nil, err
+	}
 	q := c.pickRequest(st, model, c.streaming.isEscalated())
 	q.exclude = c.exclude
 	res, ok := c.x.picker.pick(at, st, q)
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -22,10 +22,14 @@
 	retrySpread = 0.25
 )
 
-// retryAfter returns when the caller should repeat a refused request. If all
+// retryAfter returns when the caller should repeat a refused request: after the
+// end of the quarantine of a part of its prompt. If all
 // upstreams have paused the requests of this VM, that is when the first pause
 // ends; callers return one by one, since the upstreams were overloaded.
 func (c *call) retryAfter(code jdaw.Code) time.Duration {
+	if code == jdaw.CodeQuarantined {
+		return max(time.Until(c.quarantineEnd), defaultRetryAfter).Round(time.Second)
+	}
 	if code != jdaw.CodeNoUpstream && code != jdaw.CodeUpstreamRefused {
 		return defaultRetryAfter
 	}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -17,6 +17,7 @@
 	requests metric.Int64Counter
 	duration metric.Float64Histogram
 	notices  metric.Int64Counter
+	crashes  metric.Int64Counter
 }
 
 // NewMetrics creates the instruments.
@@ -31,7 +32,19 @@
 		return nil, errors.Wrap(err, "create relay_duration")
 	}
 	notices, err := m.Int64Counter("relay_upstream_notices", metric.WithDescription("notices of upstreams about themselves by kind"))
-	return &Metrics{requests: requests, duration: duration, notices: notices}, errors.Wrap(err, "create relay_upstream_notices")
+	if err != nil {
+		return nil, errors.Wrap(err, "create relay_upstream_notices")
+	}
+	crashes, err := m.Int64Counter("relay_crashed_requests",
+		metric.WithDescription("requests at an upstream whose process ended before it had begun to answer them"))
+	return &Metrics{requests: requests, duration: duration, notices: notices, crashes: crashes}, errors.Wrap(err, "create relay_crashed_requests")
+}
+
+// crashed counts a request at an upstream that crashed.
+func (m *Metrics) crashed() {
+	if m != nil {
+		m.crashes.Add(context.Background(), 1)
+	}
 }
 
 // noticed counts a notice of an upstream.
--- /dev/null
+++ b/relay/poison.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"jackdawbarrow"
+)
+
+// Poison tracks prompt parts that crash upstreams.
+type Poison interface {
+	// Crashed records a request that was at an upstream when its process ended.
+	Crashed(at time.Time, c jdaw.Crash)
+	// Answered records that an upstream has begun to answer a request.
+	Answered(at time.Time, service string, parts []string)
+	// Find returns the quarantine of the first of the parts that has one.
+	Find(at time.Time, service string, parts []string) (jdaw.Quarantine, bool)
+}
+
+// checkQuarantine rejects a request with a quarantined part.
+func (c *call) checkQuarantine(at time.Time) error {
+	parts := sharedPartIDs(c.info.Prompt)
+	if c.x.cfg.Poison == nil || len(parts) == 0 {
+		return nil
+	}
+	q, ok := c.x.cfg.Poison.Find(at, c.service, parts)
+	if !ok {
+		return nil
+	}
+	c.quarantineEnd = q.Until
+	return c.notRunError(jdaw.CodeQuarantined, "part %q of the prompt crashes upstreams", q.Part.ID)
+}
+
+// reportAnswer clears the parts of the prompt: an upstream has answered them.
+func (c *call) reportAnswer(a *attempt) {
+	if c.x.cfg.Poison != nil {
+		c.x.cfg.Poison.Answered(a.first, c.service, sharedPartIDs(c.info.Prompt))
+	}
+}
+
+// reportCrash reports a failed attempt if the upstream's process ended before it
+// had begun to answer.
+func (c *call) reportCrash(a *attempt, v attemptResult) {
+	parts := sharedPartIDs(c.info.Prompt)
+	isCut := v.outcome == outcomeFailed && v.err != nil && !a.isAbandoned.Load() && c.ctx.Err() == nil
+	if c.x.cfg.Poison == nil || len(parts) == 0 || !isCut || a.events > 0 {
+		return
+	}
+	ended := time.Now()
+	if !c.x.cfg.Pool.Refuses(c.ctx, a.reservation.Address) {
+		return
+	}
+	crash := jdaw.Crash{
+		Process: xxhash.Sum64String(string(a.reservation.ID) + "/" + strconv.FormatInt(a.reservation.Born, 10)),
+		Request: xxhash.Sum64String(c.info.ID), Service: c.service, Sent: a.sentAt, Ended: ended,
+	}
+	for _, id := range parts {
+		crash.Parts = append(crash.Parts, jdaw.NewSuspectPart(c.service, id))
+	}
+	c.x.cfg.Poison.Crashed(ended, crash)
+	c.x.cfg.Metrics.crashed()
+	c.x.cfg.Log.WithFields(logrus.Fields{
+		"request": c.info.ID, "upstream": a.reservation.ID, "address": a.reservation.Address, "service": c.service, "sharedParts": parts,
+	}).Warn("upstream crashed before it answered")
+}
--- /dev/null
+++ b/relay/poison_test.go
@@ -0,0 +1,130 @@
+package relay_test
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"jackdawbarrow"
+	"jackdawbarrow/config"
+)
+
+// poisonLog records what a relay reports, and quarantines one part.
+type poisonLog struct {
+	mu          sync.Mutex
+	crashes     []jdaw.Crash
+	answers     []string
+	quarantined string
+}
+
+func (p *poisonLog) Crashed(_ time.Time, c jdaw.Crash) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.crashes = append(p.crashes, c)
+}
+
+func (p *poisonLog) Answered(_ time.Time, service string, parts []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answers = append(p.answers, service+" "+strings.Join(parts, ","))
+}
+
+func (p *poisonLog) Find(at time.Time, service string, parts []string) (jdaw.Quarantine, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range parts {
+		if id == p.quarantined {
+			return jdaw.Quarantine{Part: jdaw.NewSuspectPart(service, id), Service: service, Until: at.Add(time.Minute)}, true
+		}
+	}
+	return jdaw.Quarantine{}, false
+}
+
+func writeEvent(w http.ResponseWriter) {
+	_, _ = w.Write([]byte("id: 1\ndata: x\n\n"))
+	_ = http.NewResponseController(w).Flush()
+}
+
+// Guards against crashes that are not reported, and against failures of other
+// kinds that count as crashes.
+func TestOnlyCrashesBeforeTheFirstEventAreReported(t *testing.T) {
+	cases := map[string]struct {
+		end                    func(w http.ResponseWriter) // of an upstream
+		stops                  bool                        // the process ends as well
+		wantCrash, wantAnswers int
+	}{
+		"crash before the head":       {end: func(http.ResponseWriter) {}, stops: true, wantCrash: 1},
+		"crash in the first event":    {end: func(w http.ResponseWriter) { _, _ = w.Write([]byte("id: 1\nda")) }, stops: true, wantCrash: 1},
+		"crash after the first event": {end: writeEvent, stops: true, wantAnswers: 1},
+		"a connection that ends":      {end: func(http.ResponseWriter) {}},
+		"a stream that ends":          {end: func(w http.ResponseWriter) { _, _ = w.Write([]byte("id: 1\nda")) }},
+		"a failure of the upstream":   {end: func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }},
+		"a refusal before a crash ends": {end: func(w http.ResponseWriter) {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, stops: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := route(config.RouteStreaming)
+			r.MaxAttempts = 1
+			log := &poisonLog{}
+			var d *deployment
+			d, url := startWith(t, r, log, func(w http.ResponseWriter, _ *http.Request) {
+				c.end(w)
+				if c.stops {
+					_ = d.listeners[0].Close()
+				}
+				if w.Header().Get("Not-Run") == "" && name != "a failure of the upstream" {
+					panic(http.ErrAbortHandler)
+				}
+			})
+			send(t, url, http.MethodPost, "/a/b", map[string]string{"Prompt": "doc"})
+			log.mu.Lock()
+			defer log.mu.Unlock()
+			if len(log.crashes) != c.wantCrash || len(log.answers) != c.wantAnswers {
+				t.Fatalf("%d crashes and answers %q are reported, want %d and %d", len(log.crashes), log.answers, c.wantCrash, c.wantAnswers)
+			}
+			for _, crash := range log.crashes {
+				if crash.Service != "s" || len(crash.Parts) != 1 || crash.Parts[0] != jdaw.NewSuspectPart("s", "doc") || !crash.Ended.After(crash.Sent) {
+					t.Errorf("reported %+v", crash)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a request with a quarantined part that reaches an upstream or is
+// told to come back before the quarantine ends, and against one that is called
+// not run after an upstream has crashed with it.
+func TestQuarantinedPartReachesNoUpstream(t *testing.T) {
+	log := &poisonLog{quarantined: "doc"}
+	d, url := startWith(t, route(config.RouteStreaming), log, func(w http.ResponseWriter, _ *http.Request) { writeEvent(w) })
+	got := send(t, url, http.MethodPost, "/a/b", map[string]string{"Prompt": "doc"})
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, `"code":1314`) || err != nil || after < 59 || after > 61 {
+		t.Errorf("answered %d %s, Retry-After %q", got.status, got.body, got.header.Get("Retry-After"))
+	}
+	if n := len(d.arrived()); n != 0 {
+		t.Errorf("%d requests reached the upstream", n)
+	}
+	if got := send(t, url, http.MethodPost, "/a/b", map[string]string{"Prompt": "other"}); got.status != http.StatusOK {
+		t.Errorf("a request without the part is answered %d", got.status)
+	}
+
+	log = &poisonLog{}
+	d, url = startWith(t, route(config.RouteStreaming), log, func(http.ResponseWriter, *http.Request) {
+		log.mu.Lock()
+		log.quarantined = "doc"
+		log.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}, ok)
+	d.state.Upstreams["s"] = d.state.Upstreams["s"][:1]
+	got = send(t, url, http.MethodPost, "/a/b", map[string]string{"Prompt": "doc"})
+	if got.status != http.StatusBadGateway || len(d.arrived()) != 1 {
+		t.Errorf("after a crash answered %d, %d requests arrived", got.status, len(d.arrived()))
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -44,6 +44,8 @@
 	Learner  jdaw.Learner
 	// Backlogs may be nil; then only this VM's requests count as load.
 	Backlogs Backlogs
+	// Poison may be nil; then no prompt part is kept from upstreams.
+	Poison Poison
 	// QualityTarget is the confidence, 0..1, that a response must reach.
 	QualityTarget float64
 	// BodyMemory bounds the bodies of all requests and responses that are held at
@@ -107,7 +109,9 @@
 	isStarted   bool // the response header was written
 	status      int
 	last        *attempt // the attempt that completed a stream
-	streaming   *streaming
+	// quarantineEnd is set if a part of the prompt is quarantined.
+	quarantineEnd time.Time
+	streaming     *streaming
 }
 
 // ServeHTTP implements [http.Handler].
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -68,12 +69,13 @@
 
 // deployment is a fixed state with fake upstreams.
 type deployment struct {
-	state    *fleet.State
-	isBehind bool
-	log      *logtest.Hook
-	mu       sync.Mutex
-	runs     []string // "upstream id model resume" of each request that arrived
-	outcomes []fleet.Outcome
+	state     *fleet.State
+	isBehind  bool
+	log       *logtest.Hook
+	listeners []net.Listener // of the upstreams
+	mu        sync.Mutex
+	runs      []string // "upstream id model resume" of each request that arrived
+	outcomes  []fleet.Outcome
 }
 
 func (d *deployment) State() *fleet.State { return d.state }
@@ -106,6 +108,12 @@
 
 // start serves a relay before upstreams with these handlers.
 func start(t *testing.T, r config.Route, handlers ...http.HandlerFunc) (*deployment, string) {
+	t.Helper()
+	return startWith(t, r, nil, handlers...)
+}
+
+// startWith serves a relay that reports crashes of upstreams to p.
+func startWith(t *testing.T, r config.Route, p relay.Poison, handlers ...http.HandlerFunc) (*deployment, string) {
 	t.Helper()
 	table := config.RouteTable{Services: map[string]config.ServiceSpec{"s": {Name: "s"}}, HasKeys: true, Keys: map[string]config.KeyGrant{
 		"k": {Workspace: "w", Rank: -1},
@@ -126,6 +134,7 @@
 			handler(w, r)
 		}))
 		t.Cleanup(srv.Close)
+		d.listeners = append(d.listeners, srv.Listener)
 		st.Upstreams["s"] = append(st.Upstreams["s"], fleet.Upstream{
 			ID: jdaw.UpstreamID(id), Service: "s", Address: srv.Listener.Addr().String(), Version: "v1", Slots: 4,
 		})
@@ -137,7 +146,7 @@
 	pool := dial.New(dial.Config{})
 	t.Cleanup(pool.Close)
 	srv := httptest.NewServer(relay.New(relay.Config{
-		Self: "vm", Fleet: d, Protocol: protocol{}, Pool: pool, Planner: planner{}, Learner: planner{}, QualityTarget: 0.5, Log: log, BodyMemory: 32 << 20,
+		Self: "vm", Fleet: d, Protocol: protocol{}, Pool: pool, Planner: planner{}, Learner: planner{}, QualityTarget: 0.5, Log: log, BodyMemory: 32 << 20, Poison: p,
 	}))
 	t.Cleanup(srv.Close)
 	return d, srv.URL
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -74,6 +74,7 @@
 			c.count(a, v)
 			c.logAttempt(a, v)
 			a.end(v.outcome)
+			c.reportCrash(a, v)
 		}
 		if s.isPrepaid.Swap(false) || c.canRetry(v) {
 			continue
@@ -232,6 +233,9 @@
 		}
 		a.idleTimer.Reset(s.idleTimeout(true))
 		a.sawEvent(time.Now())
+		if a.events == 1 {
+			c.reportAnswer(a)
+		}
 		if a.events == 1 && s.isEscalated() {
 			c.x.prefillRates.observe(a.first, c.service, a.reservation.queue, a.first.Sub(a.sentAt))
 		}
