relay: a stream that ends with its connection before the first event is broken off

Callers got a complete, empty stream when an upstream that sends neither a length nor chunks ended between the header and the first event.

Cause: the end of such a body is the end of the connection, which was taken for the end of the stream wherever it came between two events. Events so far are the only sign that there was an answer. Ruled out by the same test: ends inside an event, before its blank line, and resets were detected before.

Change: without any event the attempt failed; another upstream gets the request. A stream that a caller resumes may still be empty.

Evidence: TestAnswersThatEndWithTheirConnection failed before in the case "ends before the first event" (status 200, no event, no error), and passes.

--- a/dial/exchange.go
+++ b/dial/exchange.go
@@ -208,16 +208,16 @@
 	}
 	resp.isClosed = true
 	alive := resp.stop()
-	if !alive || !resp.isComplete || resp.raw.Close || !resp.write.isDone() || !resp.isFramed() || resp.conn.r.Buffered() > 0 {
+	if !alive || !resp.isComplete || resp.raw.Close || !resp.write.isDone() || !resp.IsFramed() || resp.conn.r.Buffered() > 0 {
 		resp.conn.Close()
 		return
 	}
 	resp.pool.put(resp.conn, keepAliveTimeout(resp.Header))
 }
 
-// isFramed reports whether the body is delimited by length or chunking, not by
+// IsFramed reports whether the body is delimited by length or chunking, not by
 // closing the connection.
-func (resp *Answer) isFramed() bool {
+func (resp *Answer) IsFramed() bool {
 	return resp.raw.ContentLength >= 0 || len(resp.raw.TransferEncoding) > 0
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -32,7 +32,10 @@
 	maxEvent = 1 << 20
 )
 
-var errTruncatedEvent = errors.New("the stream ended in the middle of an event")
+var (
+	errTruncatedEvent = errors.New("the stream ended in the middle of an event")
+	errNoEvent        = errors.New("the connection ended before the first event")
+)
 
 // cascade is the state of a request whose model the router selects.
 type cascade struct {
@@ -223,6 +226,9 @@
 	for {
 		// The slice of an event doubles when it grows.
 		event, id, err := readEvent(r, func(size int) error { return c.memory.grow(held + 2*int64(size)) })
+		if err == io.EOF && a.events == 0 && s.last == "" && !a.response.IsFramed() {
+			return errNoEvent
+		}
 		if err == io.EOF {
 			a.last = time.Now()
 			s.writeHead(a)
