fleet: hold a roll-out whose version has hardly been answered

Cause: a version completed unless the evidence spoke against it, and there was next to none. The class of fault: absence of evidence taken for evidence. Ruled out: the guard's thresholds (with three answers it suspends the version in the same run).

Change: the guard holds a version with fewer than three timed answers while its service has others. It is reviewed before the last step, not in it, and again each 250 ms; past the deadline it gets a fifth of the requests; at twice its duration it is rolled back.

--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -128,6 +128,8 @@
 		m.stepSeen(at, ev)
 	case VersionSuspended:
 		return m.versionSuspended(at, ev)
+	case VersionHeld:
+		m.versionHeld(at, ev.Version)
 	case Synced:
 		return m.sync(at, ev)
 	case jdaw.Tick:
@@ -271,6 +273,7 @@
 			m.dirty = true
 		}
 	}
+	m.raiseHeld(at)
 	actions := m.advance(at)
 	return append(actions, m.publish()...)
 }
--- a/fleet/rollout.go
+++ b/fleet/rollout.go
@@ -60,18 +60,30 @@
 // reached the new version where 1173 were allowed.
 const exposureMargin = 0.04
 
-// reviewLeadTime is the time before the completion at which the guard reviews
-// the version; its response must arrive before the next tick.
-const reviewLeadTime = 400 * time.Millisecond
+// reviewLeadTime is the time before the last step at which the guard reviews the
+// version; its response must arrive before the next tick.
+const reviewLeadTime = 250 * time.Millisecond
 
 // rewriteInterval is the time after which the evaluator repeats the write
 // that ends a roll-out. It is longer than the evaluator's pause between two watches, and leaves
 // time for a second write before the deadline.
 const rewriteInterval = 450 * time.Millisecond
 
-// maxTrialShare bounds the sessions that an undecided version gets.
+// maxTrialShare bounds the requests that an undecided version gets; one whose
+// completion is held past its deadline gets as many.
 const maxTrialShare = 0.2
 
+const (
+	// holdTime is the time from a review that found too few answers to the next.
+	holdTime = 250 * time.Millisecond
+	// maxHolds times the duration of a roll-out is the age at which a version that
+	// is still held is rolled back: its upstreams answer hardly anything.
+	maxHolds = 2
+)
+
+// seenTime is the time in which all VMs see a step.
+const seenTime = 400 * time.Millisecond
+
 // end returns the time from the order to the end of the step.
 func (s step) end(duration time.Duration) time.Duration {
 	if s.beforeEnd > 0 {
@@ -87,6 +99,10 @@
 	requestedAt    time.Time
 	isReviewed     bool   // the guard was asked to review it before completion
 	reportedAt     uint64 // revision of the last report
+	// heldUntil is the time of the next review, if the last one found too few
+	// answers, and lastStepAt the time at which this VM saw the last step.
+	heldUntil  time.Time
+	lastStepAt time.Time
 	// The order was written after notBefore, and before notAfter.
 	notBefore, notAfter time.Time
 }
@@ -134,6 +150,15 @@
 // EventName implements [jdaw.Event].
 func (VersionSuspended) EventName() string { return "versionSuspended" }
 
+// VersionHeld reports that the guard knows too little of a version that is about
+// to complete.
+type VersionHeld struct {
+	Version jdaw.ModelVersion
+}
+
+// EventName implements [jdaw.Event].
+func (VersionHeld) EventName() string { return "versionHeld" }
+
 // WriteRollout is the action that writes the state of a roll-out.
 type WriteRollout struct {
 	Service string
@@ -242,6 +267,9 @@
 	}
 	if ev.Step > r.StepIndex {
 		r.StepIndex = ev.Step
+		if ev.Step == len(steps)-1 {
+			r.lastStepAt = at
+		}
 		r.Share, r.SessionShare = steps[ev.Step].share, sessionShare(ev.Step, r.Duration, m.cfg.Exposure)
 		m.dirty = true
 	}
@@ -265,6 +293,25 @@
 	return append(m.publish(), m.decide(at, r, RolloutRolledBack, ev.Reason)...)
 }
 
+// versionHeld postpones the completion until the next review.
+func (m *Machine) versionHeld(at time.Time, v jdaw.ModelVersion) {
+	if r := m.rollouts[v.Model]; r != nil && r.Version == v.Version && r.State == RolloutRunning {
+		r.isReviewed, r.heldUntil = false, at.Add(holdTime)
+	}
+}
+
+// raiseHeld gives versions more requests whose completion is held past their
+// deadline, on each VM by itself.
+func (m *Machine) raiseHeld(at time.Time) {
+	for _, r := range m.rollouts {
+		isHeld := r.State == RolloutRunning && r.Order != 0 && at.After(r.Deadline()) && r.StepIndex < len(steps)-1
+		if isHeld && r.SessionShare > 0 && r.SessionShare < maxTrialShare {
+			r.Share, r.SessionShare = maxTrialShare, maxTrialShare
+			m.dirty = true
+		}
+	}
+}
+
 // advance writes the next step of each roll-out that this VM evaluates.
 func (m *Machine) advance(at time.Time) []jdaw.Action {
 	var actions []jdaw.Action
@@ -293,12 +340,22 @@
 	// through the store would exceed the deadline.
 	last, past := len(steps)-1, at.Sub(r.StartedAt)
 	left := steps[last].end(r.Duration) - past
+	isReviewDue := past >= steps[last-1].end(r.Duration)-reviewLeadTime
+	isHeld := !r.heldUntil.IsZero()
 	switch {
-	case left < reviewLeadTime && !r.isReviewed:
+	case isHeld && !r.isReviewed && past > maxHolds*r.Duration:
+		return m.decide(at, r, RolloutRolledBack, "too few answers to complete the version")
+	case at.Before(r.heldUntil):
+		return nil
+	case isReviewDue && !r.isReviewed:
 		r.isReviewed = true
 		return []jdaw.Action{ReviewVersion{Version: jdaw.ModelVersion{Model: r.Service, Version: r.Version}}}
 	case !m.hasUpstreams(r):
 		return nil
+	case isHeld && r.StepIndex < last:
+		return []jdaw.Action{m.writeStep(r, last)}
+	case isHeld && at.Sub(r.lastStepAt) < seenTime:
+		return nil
 	case left <= 0:
 		return m.decide(at, r, RolloutCompleted, "")
 	case r.StepIndex < last && past >= steps[r.StepIndex].end(r.Duration):
--- a/gate/process.go
+++ b/gate/process.go
@@ -94,9 +94,15 @@
 	p := &Process{cfg: cfg, pool: dial.New(dial.Config{}), poison: poison.New(poison.Config{Log: cfg.Log})}
 	machine := fleet.NewMachine(fleet.MachineConfig{Self: s.VM, Region: s.Region, DataCentres: s.DataCentres, Exposure: s.Exposure})
 	post := func(ev jdaw.Event) { p.loop.Post(ev) }
-	p.guard = guard.New(guard.Config{Suspend: func(sus jdaw.Suspension) {
-		post(fleet.VersionSuspended{Version: jdaw.ParseModelVersion(sus.Name), Reason: sus.Reason})
-	}})
+	p.guard = guard.New(guard.Config{
+		Suspend: func(sus jdaw.Suspension) {
+			post(fleet.VersionSuspended{Version: jdaw.ParseModelVersion(sus.Name), Reason: sus.Reason})
+		},
+		Hold: func(v jdaw.ModelVersion) {
+			cfg.Log.WithFields(logrus.Fields{"service": v.Model, "version": v.Version}).Info("roll-out held: too few answers of the new version")
+			post(fleet.VersionHeld{Version: v})
+		},
+	})
 	p.casc = casc.New(casc.Config{Post: post})
 	ready := make(chan struct{})
 	p.loop = loop.New(loop.Config{
--- a/guard/events.go
+++ b/guard/events.go
@@ -70,6 +70,15 @@
 // EventName implements [jdaw.Event].
 func (CompletionDue) EventName() string { return "completionDue" }
 
+// Hold is the action that postpones the completion of a version, of which too
+// little is known.
+type Hold struct {
+	Version jdaw.ModelVersion `json:"version"`
+}
+
+// ActionName implements [jdaw.Action].
+func (Hold) ActionName() string { return "hold" }
+
 // Suspend is the action that requests a suspension.
 type Suspend struct {
 	Suspension jdaw.Suspension `json:"suspension"`
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -162,6 +162,44 @@
 	}
 }
 
+// Guards against a version that completes although hardly anything is known of it,
+// and against one that is held because its service has no requests.
+func TestCompletionNeedsAnswers(t *testing.T) {
+	speeds := func(v jdaw.ModelVersion, n int) guard.Counts {
+		c := counts(v, "a", uint64(n), 0, 0, 0)
+		for range n {
+			c = c.WithSpeed(0.5)
+		}
+		return c
+	}
+	cases := map[string]struct {
+		stable, candidate int
+		want              bool // held
+	}{
+		"none":                   {60, 0, true},
+		"two":                    {60, 2, true},
+		"three":                  {60, 3, false},
+		"no answers at all":      {0, 0, false},
+		"few of either version":  {7, 2, false},
+		"none of the stable one": {0, 2, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := evaluating()
+			m.Handle(start, speeds(stable, c.stable))
+			m.Handle(start, speeds(candidate, c.candidate))
+			isHeld := false
+			for _, a := range m.Handle(start, guard.CompletionDue{Version: candidate}) {
+				h, ok := a.(guard.Hold)
+				isHeld = ok && h.Version == candidate
+			}
+			if isHeld != c.want {
+				t.Errorf("held: %v, want %v", isHeld, c.want)
+			}
+		})
+	}
+}
+
 // Exactly one VM must decide, and the next evaluator must decide from one report
 // per owner, or no VM evaluates a version whose evaluator fails.
 func TestJudgeChange(t *testing.T) {
--- a/guard/machine.go
+++ b/guard/machine.go
@@ -323,15 +323,19 @@
 }
 
 // reviewCompletion suspends a version that is about to complete if it seems
-// slower. Completion cannot be undone, so less evidence is enough than for an
-// earlier suspension.
+// slower, and holds one with too few timed answers while its service has others.
+// Completion cannot be undone, so less evidence is enough for a suspension than
+// earlier.
 func (m *Machine) reviewCompletion(at time.Time, v jdaw.ModelVersion) []jdaw.Action {
 	t := m.trialOf(v)
 	if t == nil || t.withdrawn || t.requested != nil || !m.isEvaluator(t) {
 		return nil
 	}
 	stable := m.totals[t.watch.Stable].speeds()
-	if !seemsSlower(t.speeds, stable) {
+	switch {
+	case t.speeds.n < minReviewTimed && stable.n >= minTimed:
+		return []jdaw.Action{Hold{Version: v}}
+	case !seemsSlower(t.speeds, stable):
 		return nil
 	}
 	return t.suspend(at, t.speedReport(stable)+", and would complete now.")
--- a/guard/node.go
+++ b/guard/node.go
@@ -11,6 +11,8 @@
 	Machine MachineConfig
 	// Suspend applies a suspension on all VMs. It must not block.
 	Suspend func(jdaw.Suspension)
+	// Hold, if set, postpones the completion of a version. It must not block.
+	Hold func(jdaw.ModelVersion)
 	// Propose, if set, shows a proposal to operators. It must not block.
 	Propose func(Proposal)
 }
@@ -40,6 +42,10 @@
 	switch a := a.(type) {
 	case Suspend:
 		n.cfg.Suspend(a.Suspension)
+	case Hold:
+		if n.cfg.Hold != nil {
+			n.cfg.Hold(a.Version)
+		}
 	case Proposal:
 		if n.cfg.Propose != nil {
 			n.cfg.Propose(a)
--- a/guard/speed.go
+++ b/guard/speed.go
@@ -21,8 +21,8 @@
 	// chance. A small fleet has some 15 answers by the deadline and evaluates
 	// them 10 times; 3 keeps the false alarms of all evaluations near 1 %.
 	speedErrors = 3
-	// minReviewTimed is the number of timed answers from which on a version that
-	// seems slow is not completed without further evidence.
+	// minReviewTimed is the least number of timed answers of a version that is
+	// completed, and from which on it isn't if it seems slow.
 	minReviewTimed = 3
 	// reviewErrors replaces speedErrors and slowErrors in the single evaluation
 	// before a completion, which cannot be undone. Chance alone exceeds it in 1 of
