relay: keep errors of the next upstream out of a stream that has begun

Cause: responses that were no retryable failure went the way of a first response, whose head and body are written as they are. Text within an event stream was passed on too, as long as blank lines ended it.

Change: a response continues a stream only with the status and media type of the first one; otherwise the attempt failed. A line without a colon that is no standard field breaks the attempt. A line longer than the buffer is one line now: its end in a piece of its own was taken for a blank line.

Evidence: TestErrorOfTheNextUpstreamStaysOutOfTheStream failed before in seven of ten cases (404, 400, 429, 206, 200 in two media types, and the head of a response inside an event) and passes; status 500, a refusal and a broken connection were right before.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,7 @@
 
 var (
 	errTruncatedEvent = errors.New("the stream ended in the middle of an event")
+	errMalformedEvent = errors.New("a line of an event is no field")
 	errNoEvent        = errors.New("the connection ended before the first event")
 )
 
@@ -54,6 +56,9 @@
 	for {
 		a, err := c.dispatch(s.model(), s.last, c.remaining())
 		v, ended := c.classify(a, err)
+		if !ended && !s.canContinue(a) {
+			v, ended = c.brokenStream(a), true
+		}
 		if !ended && a.response.Status == http.StatusOK {
 			if s.escalate(a) {
 				continue
@@ -92,6 +97,27 @@
 	}
 }
 
+// canContinue reports whether a response can go on with a stream that another
+// upstream began.
+func (s *streaming) canContinue(a *attempt) bool {
+	return !s.c.isStarted || a.response.Status == s.c.status && mediaType(a.response.Header) == s.mediaType
+}
+
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
+// brokenStream returns the result of an attempt whose response is no continuation
+// of the stream.
+func (c *call) brokenStream(a *attempt) attemptResult {
+	c.exclude = append(c.exclude, a.reservation.ID)
+	return attemptResult{
+		outcome: outcomeNeutral, mayRetry: c.route.IsRepeatable(),
+		err: jdaw.Fail(jdaw.CodeStreamBroken, "the next upstream answered with status %d and type %q", a.response.Status, mediaType(a.response.Header)),
+	}
+}
+
 // forwardWhole forwards a response that is not a stream.
 func (c *call) forwardWhole(a *attempt, o outcome) error {
 	body, err := c.memory.readBody(a.response.Body, maxPlainAnswer)
@@ -144,6 +170,8 @@
 	c       *call
 	cascade *cascade
 	last    string // ID of the last event sent to the caller
+	// mediaType is that of the response whose head was sent.
+	mediaType string
 	// isPrepaid is set if the budget for the next retry was already taken.
 	isPrepaid atomic.Bool
 }
@@ -305,6 +333,7 @@
 	copyHeader(c.w.Header(), a.response.Header)
 	c.isStarted = true
 	c.status = a.response.Status
+	s.mediaType = mediaType(a.response.Header)
 	c.x.abandonBudget.refill()
 	c.w.WriteHeader(a.response.Status)
 }
@@ -320,6 +349,19 @@
 	return err != nil || n == last+1
 }
 
+// isField reports whether a line is a field of an event: a name with a colon, or
+// one of the standard names alone.
+func isField(line []byte) bool {
+	if bytes.IndexByte(line, ':') >= 0 {
+		return true
+	}
+	switch string(line) {
+	case "data", "id", "event", "retry":
+		return true
+	}
+	return false
+}
+
 func isBefore(id, last string) bool {
 	n, err := strconv.ParseInt(id, 10, 64)
 	m, lastErr := strconv.ParseInt(last, 10, 64)
@@ -329,6 +371,7 @@
 // readEvent reads one event with its blank line. It returns io.EOF only at an
 // end between events. grow reserves memory for an event of a size in bytes.
 func readEvent(r *bufio.Reader, grow func(size int) error) (event []byte, id string, err error) {
+	lineStart := 0 // a line may come in several pieces
 	for {
 		line, err := r.ReadSlice('\n')
 		if len(event)+len(line) > maxEvent {
@@ -347,10 +390,14 @@
 		if err != nil {
 			return nil, "", err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(event[lineStart:], "\r\n")
+		lineStart = len(event)
 		if len(text) == 0 {
 			return event, id, nil
 		}
+		if !isField(text) {
+			return nil, "", errMalformedEvent
+		}
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
