dial: distrust a response without an id where earlier ones had one

Cause: a response that names no request counted as the response to the request in progress. Ruled out: copies that name the earlier request are skipped, and a connection whose response is a refusal is not kept, so that the copy has to come on another one.

Change: a connection remembers whether its responses name their requests. From then on, one that names none fails the attempt with an unknown outcome. Upstreams that never name requests are treated as before.

--- a/dial/conn.go
+++ b/dial/conn.go
@@ -18,6 +18,7 @@
 type conn struct {
 	net.Conn
 	addr      string
+	isNamed   bool // its responses name their requests
 	source    *boundedReader
 	r         *bufio.Reader // of source
 	idleSince time.Time
--- a/dial/dial_test.go
+++ b/dial/dial_test.go
@@ -85,8 +85,13 @@
 	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
 }
 
-func isOwn(id string) func(int, http.Header) bool {
-	return func(_ int, h http.Header) bool { return h.Get("Request-Id") == id }
+func ownerOf(id string) func(int, http.Header) dial.Owner {
+	return func(_ int, h http.Header) dial.Owner {
+		if h.Get("Request-Id") == id {
+			return dial.OwnerThis
+		}
+		return dial.OwnerOther
+	}
 }
 
 // Guards against taking a response to an earlier request of the connection for the
@@ -109,7 +114,7 @@
 			u := startUpstream(t, c.text)
 			p := dial.New(dial.Config{})
 			defer p.Close()
-			got, err := u.do(t, p, dial.Request{IsOwn: isOwn("1")})
+			got, err := u.do(t, p, dial.Request{Owner: ownerOf("1")})
 			if (err != nil) != c.failed || got != c.want {
 				t.Errorf("got %q, %v; want %q", got, err, c.want)
 			}
--- a/dial/doc.go
+++ b/dial/doc.go
@@ -8,7 +8,7 @@
 //
 //	p := dial.New(dial.Config{})
 //	defer p.Close()
-//	resp, err := p.Do(ctx, dial.Request{Address: addr, Method: "GET", Target: "/x", IsOwn: own})
+//	resp, err := p.Do(ctx, dial.Request{Address: addr, Method: "GET", Target: "/x", Owner: owner})
 //	if dial.WasSent(err) { ... } // the upstream may have executed it
 //	defer resp.Close()
 //
--- a/dial/endless_test.go
+++ b/dial/endless_test.go
@@ -68,7 +68,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 			defer cancel()
 			peak := peakHeap(func() {
-				a, err := p.Do(ctx, dial.Request{Address: addr, Method: "GET", Target: "/", IsOwn: isOwn("1")})
+				a, err := p.Do(ctx, dial.Request{Address: addr, Method: "GET", Target: "/", Owner: ownerOf("1")})
 				if err == nil {
 					_, err = io.Copy(io.Discard, a.Body)
 					a.Close()
@@ -122,7 +122,7 @@
 	p := dial.New(dial.Config{})
 	defer p.Close()
 	for range 3 {
-		if got, err := u.do(t, p, dial.Request{IsOwn: isOwn("1")}); got != "yes" || err != nil {
+		if got, err := u.do(t, p, dial.Request{Owner: ownerOf("1")}); got != "yes" || err != nil {
 			t.Fatalf("got %q, %v", got, err)
 		}
 	}
--- a/dial/exchange.go
+++ b/dial/exchange.go
@@ -44,8 +44,26 @@
 	// of the response to an earlier attempt would pass for the response to this one,
 	// since both have the same id.
 	NewConn bool
-	// IsOwn reports whether a response with this header belongs to the request.
-	IsOwn func(status int, h http.Header) bool
+	// Owner reports which request a response with this header names; nil stands for
+	// [OwnerUnnamed].
+	Owner func(status int, h http.Header) Owner
+}
+
+// Owner says which request a response belongs to.
+type Owner string
+
+// Values of Owner.
+const (
+	OwnerThis    Owner = "this"    // the response names this request
+	OwnerOther   Owner = "other"   // it names another one
+	OwnerUnnamed Owner = "unnamed" // it names none
+)
+
+func (q Request) ownerOf(r *http.Response) Owner {
+	if q.Owner == nil {
+		return OwnerUnnamed
+	}
+	return q.Owner(r.StatusCode, r.Header)
 }
 
 // Error is a failure before the response header was read.
@@ -159,7 +177,12 @@
 		if raw.StatusCode >= 100 && raw.StatusCode < 200 {
 			continue
 		}
-		if q.IsOwn == nil || q.IsOwn(raw.StatusCode, raw.Header) {
+		owner := q.ownerOf(raw)
+		if owner == OwnerUnnamed && c.isNamed {
+			return nil, errors.Newf("response with status %d names no request, unlike earlier ones of the connection", raw.StatusCode)
+		}
+		if owner != OwnerOther {
+			c.isNamed = owner == OwnerThis
 			c.source.isBounded = false
 			return raw, nil
 		}
--- a/dial/fuzz_test.go
+++ b/dial/fuzz_test.go
@@ -38,8 +38,13 @@
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
 		c := newConn(&scriptedConn{r: bytes.NewReader(text)}, "")
-		own := func(_ int, h http.Header) bool { return h.Get("Request-Id") == "1" }
-		resp, err := readResponse(c, Request{Method: http.MethodGet, IsOwn: own})
+		owner := func(_ int, h http.Header) Owner {
+			if h.Get("Request-Id") == "1" {
+				return OwnerThis
+			}
+			return OwnerOther
+		}
+		resp, err := readResponse(c, Request{Method: http.MethodGet, Owner: owner})
 		if err != nil {
 			return
 		}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -134,9 +134,15 @@
 		req.MaxIdle = unsafeIdle
 	}
 	a := &attempt{request: q, reservation: res, cancel: cancel, sentAt: at}
-	req.IsOwn = func(status int, h http.Header) bool {
+	req.Owner = func(status int, h http.Header) dial.Owner {
 		a.info = c.x.cfg.Protocol.ReadAnswer(status, h)
-		return a.info.RequestID == "" || a.info.RequestID == c.info.ID
+		switch a.info.RequestID {
+		case "":
+			return dial.OwnerUnnamed
+		case c.info.ID:
+			return dial.OwnerThis
+		}
+		return dial.OwnerOther
 	}
 	if c.streaming != nil {
 		a.idleTimer = time.AfterFunc(c.streaming.idleTimeout(false), func() { c.streaming.abandon(a) })
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -75,6 +75,7 @@
 	listeners []net.Listener // of the upstreams
 	mu        sync.Mutex
 	runs      []string // "upstream id model resume" of each request that arrived
+	requests  []string // ids of the requests that arrived
 	outcomes  []fleet.Outcome
 }
 
@@ -98,6 +99,19 @@
 	return append([]string(nil), d.runs...)
 }
 
+// arrivedWith returns the number of requests with an id that arrived.
+func (d *deployment) arrivedWith(id string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, request := range d.requests {
+		if request == id {
+			n++
+		}
+	}
+	return n
+}
+
 func route(kind config.RouteKind) config.Route {
 	return config.Route{
 		Name: "r", Host: "h.example", Prefix: "/a/", Kind: kind, IsResumable: true, Timeout: 5 * time.Second,
@@ -127,6 +141,7 @@
 		id := fmt.Sprintf("u%d", i)
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			d.mu.Lock()
+			d.requests = append(d.requests, r.Header.Get("Id"))
 			d.runs = append(d.runs, strings.TrimSpace(id+" "+r.Header.Get("Model")+" "+r.Header.Get("Resume")))
 			d.mu.Unlock()
 			w.Header().Set("Id", r.Header.Get("Id"))
