relay: report crashes and answers of plain requests with prompts

A deadly prompt part in requests that are not streams crashed upstreams without evidence, since only streams reported crashes and answers.

Evidence: TestPlainRequestsWithPromptsAreReported failed before (no report) and passes. A VM without quarantines no longer hashes the parts of prompts.

--- a/poison/detector.go
+++ b/poison/detector.go
@@ -116,6 +116,9 @@
 func (d *Detector) Find(at time.Time, service string, parts []string) (jdaw.Quarantine, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if len(d.decided)+len(d.stored)+len(d.reported) == 0 {
+		return jdaw.Quarantine{}, false
+	}
 	for _, id := range parts {
 		part := jdaw.NewSuspectPart(service, id)
 		if q, ok := d.quarantineOf(at, part.Key); ok {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -327,8 +327,10 @@
 			c.logAttempt(a, v)
 			defer a.cancel()
 			a.end(v.outcome)
+			c.reportCrash(a, v)
 		}
 		if !ended {
+			c.reportAnswer(time.Now())
 			return c.writePlain(a.response, held)
 		}
 		// A failure that an upstream answered is better than none.
--- a/relay/poison.go
+++ b/relay/poison.go
@@ -35,9 +35,9 @@
 }
 
 // reportAnswer clears the parts of the prompt: an upstream has answered them.
-func (c *call) reportAnswer(a *attempt) {
+func (c *call) reportAnswer(at time.Time) {
 	if c.x.cfg.Poison != nil {
-		c.x.cfg.Poison.Answered(a.first, c.service, sharedPartIDs(c.info.Prompt))
+		c.x.cfg.Poison.Answered(at, c.service, sharedPartIDs(c.info.Prompt))
 	}
 }
 
--- a/relay/poison_test.go
+++ b/relay/poison_test.go
@@ -128,3 +128,36 @@
 		t.Errorf("after a crash answered %d, %d requests arrived", got.status, len(d.arrived()))
 	}
 }
+
+// Guards against prompts of plain requests whose crashes and answers no VM hears
+// of.
+func TestPlainRequestsWithPromptsAreReported(t *testing.T) {
+	cases := map[string]struct {
+		stops                  bool
+		wantCrash, wantAnswers int
+	}{
+		"answered": {wantAnswers: 1},
+		"crash":    {stops: true, wantCrash: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := route(config.RouteSafe)
+			r.MaxAttempts = 1
+			log := &poisonLog{}
+			var d *deployment
+			d, url := startWith(t, r, log, func(w http.ResponseWriter, r *http.Request) {
+				if c.stops {
+					_ = d.listeners[0].Close()
+					panic(http.ErrAbortHandler)
+				}
+				ok(w, r)
+			})
+			send(t, url, http.MethodPost, "/a/b", map[string]string{"Prompt": "doc"})
+			log.mu.Lock()
+			defer log.mu.Unlock()
+			if len(log.crashes) != c.wantCrash || len(log.answers) != c.wantAnswers {
+				t.Errorf("%d crashes and answers %q are reported, want %d and %d", len(log.crashes), log.answers, c.wantCrash, c.wantAnswers)
+			}
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -268,7 +268,7 @@
 		a.idleTimer.Reset(s.idleTimeout(true))
 		a.sawEvent(time.Now())
 		if a.events == 1 {
-			c.reportAnswer(a)
+			c.reportAnswer(a.first)
 		}
 		if a.events == 1 && s.isEscalated() {
 			c.x.prefillRates.observe(a.first, c.service, a.reservation.queue, a.first.Sub(a.sentAt))
