poison: wait while two parts explain the same crashes

Callers with a sound part were refused for 10 minutes: the part was in two requests that met the same three crashes as one request with a deadly part.

Cause: a part was judged by itself. The deadly one had one request until then, and two are asked for; the sound one had two and no rival.

Change: below five crashes, a part is not quarantined if a part of other requests explains all of its crashes. The next crash tells the two apart.

Evidence: the case "a sound rare part at the same upstreams" of TestDecide failed before; the next crash quarantines the deadly part alone.

--- a/poison/decide.go
+++ b/poison/decide.go
@@ -21,6 +21,9 @@
 	// it wait at several upstreams at once.
 	busyChain     = 2
 	busyProcesses = 5
+	// sureProcesses are enough even if a part of other requests explains the same
+	// crashes; before, the next crash tells the two apart.
+	sureProcesses = 5
 	// companionChain suffices for a part that was in every request with a part that
 	// is quarantined: crashes that go on without that part point to this one.
 	companionChain = 2
@@ -37,8 +40,8 @@
 	service   string
 	depth     int // position in the prompt
 	crashes   []jdaw.Crash
-	processes int
-	requests  int
+	processes map[uint64]bool
+	requests  map[uint64]bool
 	chain     int
 	first     time.Time // end of the first process
 }
@@ -59,10 +62,13 @@
 
 // strongest returns the suspect that explains most crashes.
 func (d *Detector) strongest(at time.Time) (suspect, bool) {
-	var found []suspect
+	var all, found []suspect
 	for _, s := range suspectsOf(d.crashes) {
 		s.weigh()
-		if d.isGuilty(at, s) {
+		all = append(all, s)
+	}
+	for _, s := range all {
+		if d.isGuilty(at, s) && (len(s.processes) >= sureProcesses || !hasRival(s, all)) {
 			found = append(found, s)
 		}
 	}
@@ -71,8 +77,8 @@
 	}
 	sort.Slice(found, func(i, j int) bool {
 		a, b := found[i], found[j]
-		if a.processes != b.processes {
-			return a.processes > b.processes
+		if len(a.processes) != len(b.processes) {
+			return len(a.processes) > len(b.processes)
 		}
 		_, isA := d.companions[a.part.Key]
 		_, isB := d.companions[b.part.Key]
@@ -104,19 +110,37 @@
 
 // weigh counts processes and requests, and finds the longest chain.
 func (s *suspect) weigh() {
-	processes, requests := map[uint64]bool{}, map[uint64]bool{}
+	s.processes, s.requests = map[uint64]bool{}, map[uint64]bool{}
 	sort.Slice(s.crashes, func(i, j int) bool { return s.crashes[i].Ended.Before(s.crashes[j].Ended) })
 	s.first = s.crashes[0].Ended
 	last := time.Time{}
 	for _, c := range s.crashes {
-		requests[c.Request] = true
-		if !processes[c.Process] && c.Sent.Add(clockSlack).After(last) {
+		s.requests[c.Request] = true
+		if !s.processes[c.Process] && c.Sent.Add(clockSlack).After(last) {
 			s.chain++
 			last = c.Ended
 		}
-		processes[c.Process] = true
+		s.processes[c.Process] = true
+	}
+}
+
+// hasRival reports whether a part of other requests explains the same crashes.
+func hasRival(s suspect, all []suspect) bool {
+	for _, r := range all {
+		if containsAll(r.processes, s.processes) && !containsAll(r.requests, s.requests) {
+			return true
+		}
+	}
+	return false
+}
+
+func containsAll(set, subset map[uint64]bool) bool {
+	for x := range subset {
+		if !set[x] {
+			return false
+		}
 	}
-	s.processes, s.requests = len(processes), len(requests)
+	return true
 }
 
 // isGuilty reports whether the evidence against a suspect suffices.
@@ -129,15 +153,15 @@
 	if _, ok := d.companions[s.part.Key]; ok && s.chain >= companionChain {
 		return true
 	}
-	return s.requests >= minRequests &&
-		(s.chain >= minChain || s.chain >= busyChain && s.processes >= busyProcesses)
+	return len(s.requests) >= minRequests &&
+		(s.chain >= minChain || s.chain >= busyChain && len(s.processes) >= busyProcesses)
 }
 
 // quarantine puts a part in quarantine and drops the evidence that it explains.
 func (d *Detector) quarantine(at time.Time, s suspect) {
 	key := s.part.Key
 	d.decided[key] = decision{Quarantine: jdaw.Quarantine{
-		Part: s.part, Service: s.service, Crashes: s.processes, Until: at.Add(jdaw.QuarantineTime),
+		Part: s.part, Service: s.service, Crashes: len(s.processes), Until: at.Add(jdaw.QuarantineTime),
 	}}
 	for _, p := range companionsOf(s) {
 		d.companions[p] = at
@@ -147,7 +171,7 @@
 		d.explain(at, c.Process)
 	}
 	d.cfg.Log.WithFields(logrus.Fields{
-		"service": s.service, "part": s.part.ID, "crashes": s.processes, "requests": s.requests, "chain": s.chain,
+		"service": s.service, "part": s.part.ID, "crashes": len(s.processes), "requests": len(s.requests), "chain": s.chain,
 		"sinceFirstMs": at.Sub(s.first).Milliseconds(),
 	}).Warn("prompt part quarantined: it crashes upstreams")
 }
--- a/poison/detector_test.go
+++ b/poison/detector_test.go
@@ -193,6 +193,21 @@
 				answered{1100, "other"},
 			}, 2000, "bad x",
 		},
+		"a sound rare part at the same upstreams as one request with the deadly part": {
+			[]any{
+				crash{"u1", "a", 0, 100, "team bad"}, crash{"u1", "s1", 0, 100, "good"},
+				crash{"u2", "a", 100, 300, "team bad"}, crash{"u2", "s1", 100, 300, "good"},
+				crash{"u3", "a", 300, 500, "team bad"}, crash{"u3", "s2", 310, 500, "good"}, answered{900, "other"},
+			}, 1000, "",
+		},
+		"the next crash after it": {
+			[]any{
+				crash{"u1", "a", 0, 100, "team bad"}, crash{"u1", "s1", 0, 100, "good"},
+				crash{"u2", "a", 100, 300, "team bad"}, crash{"u2", "s1", 100, 300, "good"},
+				crash{"u3", "a", 300, 500, "team bad"}, crash{"u3", "s2", 310, 500, "good"}, answered{900, "other"},
+				crash{"u4", "b", 510, 950, "team bad"},
+			}, 1000, "bad",
+		},
 		"two parts at once": {
 			[]any{
 				crash{"u1", "a", 0, 100, "team bad"},
