serve: ask the home of a key that the member table calls dead

Callers got 502 keyHomeDead for an order whose home, paused before, served again.

Cause: a VM forwarded a keyed request only if its member table had the home alive under the incarnation of the key. The table learns of a VM that is back with a later probe. The fault is a member table taken for an authority on what another process knows.

Change: a home that the table has otherwise is probed, past the backoff of its connection, and asked if it answers; it decides whether it knows the key.

--- a/peers/node.go
+++ b/peers/node.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc"
 
 	"jackdawbarrow"
 	"jackdawbarrow/wire"
@@ -273,6 +274,25 @@
 	return reply, nil
 }
 
+// IsRunning asks whether a VM answers at an address. The member table learns of a
+// VM that is back, or has a new incarnation, with the next probe only.
+func (n *Node) IsRunning(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := n.conns.Conn(addr, n.cfg.Clock.Now())
+	if err != nil {
+		return false
+	}
+	// The connection may wait after attempts that failed while the VM was away.
+	conn.ResetConnectBackoff()
+	reply, err := wire.NewPeerClient(conn).Probe(ctx, &wire.ProbeRequest{Header: n.Header()}, grpc.WaitForReady(true))
+	if err != nil {
+		return false
+	}
+	n.Observe(reply.GetHeader())
+	return true
+}
+
 func (n *Node) sendProbeFor(a SendProbeFor) {
 	ctx, cancel := context.WithTimeout(n.ctx, probeForTimeout)
 	defer cancel()
--- a/proof/atmostonce_test.go
+++ b/proof/atmostonce_test.go
@@ -351,3 +351,44 @@
 		wg.Wait()
 	}
 }
+
+// Guards against a key that other VMs call lost while its home, which was paused,
+// serves again.
+func TestKeyOfAVMThatIsBack(t *testing.T) {
+	s, _ := startWithPlainRelays(t, 4)
+	h := &orderHistory{s: s}
+	home := s.vms[3]
+	knowsKey := func(key string) bool {
+		got := h.order(home, key)
+		return got.err == nil && got.reply.Code == jdaw.CodeOK
+	}
+	rounds := 0
+	for range times(3) {
+		key := s.issueKey(home)
+		home.freeze()
+		s.within(10*time.Second, "the home is declared dead", func() bool {
+			return h.order(s.vms[0], key).reply.Code == jdaw.CodeKeyHomeDead
+		})
+		home.thaw()
+		// A home whose journal was sealed meanwhile takes another incarnation, which
+		// does not know the key.
+		isHome := knowsKey(key)
+		var got []orderOp
+		for _, v := range s.vms[:3] {
+			got = append(got, h.order(v, key))
+		}
+		if isHome && knowsKey(key) {
+			rounds++
+			for i, op := range got {
+				if op.err != nil || op.reply.Code != jdaw.CodeOK {
+					t.Errorf("%s answers %+v, %v; want the answer of the home", s.vms[i].id, op.reply, op.err)
+				}
+			}
+		}
+		s.within(10*time.Second, "the home serves", func() bool { return s.isServing(home) })
+	}
+	if rounds == 0 {
+		t.Error("the home lost its incarnation in each pause")
+	}
+	h.check()
+}
--- a/serve/peer.go
+++ b/serve/peer.go
@@ -97,11 +97,13 @@
 	return entry.KeyIssuer{VM: k.VM, Incarnation: k.Incarnation, Self: p.ledger.IsHome(k)}, true, nil
 }
 
-// forward sends a keyed request to the VM that issued its key. The home of a
-// key that was issued under an earlier incarnation no longer knows it.
+// forward sends a keyed request to the VM that issued its key. A process knows
+// the keys of all of its incarnations, so one that answers is asked, whatever the
+// member table says of it.
 func (p *Process) forward(ctx context.Context, home entry.KeyIssuer, q entry.Forwarded) (entry.ForwardAnswer, error) {
 	m, ok := p.peers.View().Member(home.VM)
-	if !ok || m.State == jdaw.MemberDead || m.Incarnation != home.Incarnation {
+	isKnown := ok && m.State != jdaw.MemberDead && m.Incarnation == home.Incarnation
+	if !isKnown && (!ok || !p.peers.IsRunning(ctx, m.PeerAddr)) {
 		return entry.ForwardAnswer{}, jdaw.Fail(jdaw.CodeKeyHomeDead, "the VM %s that issued the key is gone; whether the request ran is not known", home.VM)
 	}
 	c, err := p.peers.Client(m.PeerAddr)
