poison: quarantines reach other data centres without the store

VMs of one data centre let a quarantined part through until they read the store: TestCrashesSeenByDifferentVMsMeet failed in 2 of 30 runs under the race detector, with 10 s without the quarantine in one data centre.

Cause: an aggregator drops the evidence that a quarantine explains, at times before it has told all others of it, and told the quarantine to its own VMs alone. Ruled out: the evidence not sent (three data centres had parts of it), the times in transit (they are better now, see below).

Change: aggregators tell each other the quarantines that they decided or read; reports of others are passed on to VMs, not to aggregators, so that none outlasts its end. Found in the same traces: a crash was told for 10 minutes, now for 5 s; an answer that was heard of late was not passed on; the earliest of several reports of a crash has its best time.

--- a/loads/node.go
+++ b/loads/node.go
@@ -212,6 +212,7 @@
 		if reply := n.call(aggregator, sum, period); reply != nil {
 			now := time.Now()
 			n.cfg.Poison.Merge(now, decodeEvidence(now, reply.GetEvidence()), false)
+			n.cfg.Poison.Report(now, decodeKeys(reply.GetQuarantined()))
 			n.mu.Lock()
 			n.table.updateDataCentre(time.Now(), dc, decode(reply.GetOthers()))
 			n.mu.Unlock()
@@ -256,7 +257,8 @@
 	if err == nil {
 		reply, err = wire.NewLoadsClient(conn).ExchangeBacklog(ctx, &wire.ExchangeBacklogRequest{
 			Vm: string(n.cfg.Self.VM), DataCentre: string(n.cfg.Self.DataCentre), Own: encode(backlog),
-			Evidence: encodeEvidence(now, n.cfg.Poison.Evidence(now, answersFor(period))),
+			Evidence:    encodeEvidence(now, n.cfg.Poison.Evidence(now, answersFor(period))),
+			Quarantined: encodeKeys(n.cfg.Poison.Keys(now)),
 		})
 	}
 	if err != nil {
@@ -278,16 +280,19 @@
 	now := time.Now()
 	dc := jdaw.DataCentre(q.GetDataCentre())
 	n.cfg.Poison.Merge(now, decodeEvidence(now, q.GetEvidence()), dc == n.cfg.Self.DataCentre)
+	n.cfg.Poison.Report(now, decodeKeys(q.GetQuarantined()))
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if dc != n.cfg.Self.DataCentre {
 		n.table.updateDataCentre(now, dc, backlog)
 		evidence := n.cfg.Poison.Evidence(now, answersFor(n.period()))
-		return &wire.ExchangeBacklogReply{Others: encode(n.table.own(now, own)), Evidence: encodeEvidence(now, evidence)}, nil
+		return &wire.ExchangeBacklogReply{
+			Others: encode(n.table.own(now, own)), Evidence: encodeEvidence(now, evidence), Quarantined: encodeKeys(n.cfg.Poison.Keys(now)),
+		}, nil
 	}
 	reply := &wire.ExchangeBacklogReply{
 		Others:      encodeTokens(n.table.updateVM(now, jdaw.VMID(q.GetVm()), backlog, own)),
-		Quarantined: encodeKeys(n.cfg.Poison.Keys(now)),
+		Quarantined: encodeKeys(n.cfg.Poison.AllKeys(now)),
 	}
 	// A VM that is no aggregator in its own view forwards the outliers that its aggregator reported.
 	if known := n.recent(); known != nil {
--- a/poison/detector.go
+++ b/poison/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	// the IDs of parts.
 	maxCrashes  = 512
 	maxAnswered = 1 << 14
+	// toldFor is the time for which a crash is told in each message: messages may be
+	// lost, and the VM that decides may be replaced.
+	toldFor = 5 * time.Second
 	// maxSentCrashes and maxSentAnswers bound the evidence in a message.
 	maxSentCrashes = 64
 	maxSentAnswers = 1024
@@ -57,9 +61,8 @@
 	explained  map[uint64]time.Time
 	decided    map[jdaw.PromptPartKey]decision
 	stored     map[jdaw.PromptPartKey]jdaw.Quarantine
-	reported   map[jdaw.PromptPartKey]bool
-	reportedAt time.Time
-	expiredAt  time.Time // last search for expired answers
+	reported   map[jdaw.PromptPartKey]time.Time // last report of another VM
+	expiredAt  time.Time                        // last search for expired answers
 }
 
 // evidence is a crash and whether a VM of this data centre saw it.
@@ -69,9 +72,9 @@
 }
 
 // answer is the last answer to a part and the last one that a VM of this data
-// centre saw.
+// centre saw, of which this VM heard at heardAt.
 type answer struct {
-	at, localAt time.Time
+	at, localAt, heardAt time.Time
 }
 
 // decision is a quarantine that this VM decided.
@@ -88,7 +91,7 @@
 	return &Detector{
 		cfg: cfg, changed: make(chan struct{}, 1), answered: map[jdaw.PromptPartKey]answer{},
 		companions: map[jdaw.PromptPartKey]time.Time{}, explained: map[uint64]time.Time{},
-		decided: map[jdaw.PromptPartKey]decision{},
+		decided: map[jdaw.PromptPartKey]decision{}, reported: map[jdaw.PromptPartKey]time.Time{},
 	}
 }
 
@@ -106,9 +109,9 @@
 func (d *Detector) Answered(at time.Time, service string, parts []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.addAnswer(at, jdaw.PromptPartKeyOf(service, ""), true)
+	d.addAnswer(at, at, jdaw.PromptPartKeyOf(service, ""), true)
 	for _, id := range parts {
-		d.addAnswer(at, jdaw.PromptPartKeyOf(service, id), true)
+		d.addAnswer(at, at, jdaw.PromptPartKeyOf(service, id), true)
 	}
 }
 
@@ -136,24 +139,28 @@
 	if q, ok := d.stored[key]; ok {
 		return q, true
 	}
-	isReported := d.reported[key] && at.Sub(d.reportedAt) < reportTime
-	return jdaw.Quarantine{Until: at.Add(jdaw.QuarantineTime)}, isReported
+	return jdaw.Quarantine{Until: at.Add(jdaw.QuarantineTime)}, d.isReported(at, key)
 }
 
-// Evidence returns what VMs of this data centre saw: all crashes, and the parts
-// answered within a time.
+func (d *Detector) isReported(at time.Time, key jdaw.PromptPartKey) bool {
+	reportedAt, ok := d.reported[key]
+	return ok && at.Sub(reportedAt) < reportTime
+}
+
+// Evidence returns what VMs of this data centre saw: recent crashes, and the
+// answers of which this VM heard within a time.
 func (d *Detector) Evidence(at time.Time, within time.Duration) jdaw.CrashEvidence {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(at)
 	e := jdaw.CrashEvidence{Answered: map[jdaw.PromptPartKey]time.Time{}}
 	for i := len(d.crashes) - 1; i >= 0 && len(e.Crashes) < maxSentCrashes; i-- {
-		if d.crashes[i].isLocal {
+		if c := d.crashes[i]; c.isLocal && at.Sub(c.Ended) < toldFor {
 			e.Crashes = append(e.Crashes, d.crashes[i].Crash)
 		}
 	}
 	for key, a := range d.answered {
-		if at.Sub(a.localAt) < within && len(e.Answered) < maxSentAnswers {
+		if at.Sub(a.heardAt) < within && len(e.Answered) < maxSentAnswers {
 			e.Answered[key] = a.localAt
 		}
 	}
@@ -166,21 +173,20 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for key, answeredAt := range e.Answered {
-		d.addAnswer(answeredAt, key, isLocal)
+		d.addAnswer(at, answeredAt, key, isLocal)
 	}
 	for _, c := range e.Crashes {
 		d.addCrash(at, evidence{Crash: c, isLocal: isLocal})
 	}
 }
 
-// Report replaces the quarantines that another VM reports.
+// Report takes the quarantines that another VM reports. They hold as long as it
+// repeats them.
 func (d *Detector) Report(at time.Time, keys []jdaw.PromptPartKey) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.reportedAt = at
-	d.reported = make(map[jdaw.PromptPartKey]bool, len(keys))
 	for _, key := range keys {
-		d.reported[key] = true
+		d.reported[key] = at
 	}
 	d.explainQuarantined(at)
 }
@@ -205,8 +211,21 @@
 	d.explainQuarantined(at)
 }
 
-// Keys returns the quarantines in force that this VM decided or read from the
-// store.
+// AllKeys returns the quarantines in force, for VMs that pass them on to nobody.
+func (d *Detector) AllKeys(at time.Time) []jdaw.PromptPartKey {
+	keys := d.Keys(at)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key := range d.reported {
+		if d.isReported(at, key) && !slices.Contains(keys, key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// Keys returns the quarantines that this VM decided or read from the store. VMs
+// tell each other of these alone, so that none outlasts its end by echoes.
 func (d *Detector) Keys(at time.Time) []jdaw.PromptPartKey {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -241,13 +260,13 @@
 
 // The methods below are called with mu held.
 
-func (d *Detector) addAnswer(at time.Time, key jdaw.PromptPartKey, isLocal bool) {
+func (d *Detector) addAnswer(at, answeredAt time.Time, key jdaw.PromptPartKey, isLocal bool) {
 	a, isKnown := d.answered[key]
-	if at.After(a.at) {
-		a.at = at
+	if answeredAt.After(a.at) {
+		a.at = answeredAt
 	}
-	if isLocal && at.After(a.localAt) {
-		a.localAt = at
+	if isLocal && answeredAt.Sub(a.localAt) > clockSlack {
+		a.localAt, a.heardAt = answeredAt, at
 	}
 	if isKnown || len(d.answered) < maxAnswered {
 		d.answered[key] = a
@@ -295,8 +314,12 @@
 			suspects = append(suspects, p)
 		}
 	}
-	for _, known := range d.crashes {
+	for i, known := range d.crashes {
 		if known.Process == c.Process && known.Request == c.Request {
+			// The time in transit adds to what other VMs tell, so the earliest is best.
+			if c.Ended.Before(known.Ended) {
+				d.crashes[i].Sent, d.crashes[i].Ended = c.Sent, c.Ended
+			}
 			return
 		}
 	}
@@ -341,9 +364,13 @@
 
 // expire drops what is too old.
 func (d *Detector) expire(at time.Time) {
-	for len(d.crashes) > 0 && at.Sub(d.crashes[0].Ended) > crashMemory {
-		d.crashes = d.crashes[1:]
+	kept := d.crashes[:0]
+	for _, c := range d.crashes {
+		if len(c.Parts) > 0 && at.Sub(c.Ended) <= crashMemory {
+			kept = append(kept, c)
+		}
 	}
+	d.crashes = kept
 	for process, since := range d.explained {
 		if at.Sub(since) > crashMemory {
 			delete(d.explained, process)
@@ -363,6 +390,11 @@
 		return
 	}
 	d.expiredAt = at
+	for key := range d.reported {
+		if !d.isReported(at, key) {
+			delete(d.reported, key)
+		}
+	}
 	for key, a := range d.answered {
 		if at.Sub(a.at) > answerMemory {
 			delete(d.answered, key)
--- a/poison/detector_test.go
+++ b/poison/detector_test.go
@@ -314,6 +314,28 @@
 	if got := c.quarantined(); got != "bad" {
 		t.Fatalf("quarantined %q, want bad", got)
 	}
+	// Two of three messages are 200 ms in transit when the crashes are told first.
+	slow := newDetector()
+	for i, delay := range []int{200, 200, 0} {
+		c := guilty[i].(crash)
+		c.sent, c.ended = c.sent+delay, c.ended+delay
+		slow.Merge(at, jdaw.CrashEvidence{Crashes: []jdaw.Crash{c.value()}}, true)
+	}
+	slow.play(guilty[3:])
+	slow.Decide(after(2000))
+	if got := slow.quarantined(); got != "" {
+		t.Fatalf("quarantined %q: the messages form a chain without exact times", got)
+	}
+	slow.play(guilty)
+	slow.Decide(after(2000))
+	if got := slow.quarantined(); got != "bad" {
+		t.Fatalf("quarantined %q after better times, want bad", got)
+	}
+	late := newDetector()
+	late.Merge(after(1500), b.Evidence(at, time.Second), true)
+	if e := late.Evidence(after(1600), 450*time.Millisecond); !e.Answered[jdaw.PromptPartKeyOf(service, "other")].Equal(after(600)) {
+		t.Errorf("an answer heard of late is not passed on: %v", e)
+	}
 	d := newDetector()
 	d.Merge(at, b.Evidence(at, time.Second), false)
 	if e := d.Evidence(at, time.Second); len(e.Crashes)+len(e.Answered) != 0 {
@@ -322,6 +344,9 @@
 	if e := b.Evidence(after(5000), time.Second); len(e.Answered) != 0 || len(e.Crashes) != 1 {
 		t.Errorf("%v is told again, want the crash alone", e)
 	}
+	if e := b.Evidence(after(6000), time.Second); len(e.Crashes) != 0 {
+		t.Errorf("%v is told for long", e)
+	}
 }
 
 // Guards against memory that grows with the parts that callers name.
