guard: count slow answers in the review of few answers

Cause: with fewer than eight timed answers, the review before a completion compared mean speeds alone. Here all seven answers of the new version were slow, as against 112 of 356, but the mean was 0.32 against 0.45 of a stable version that was busy, a drop of 0.13 where 0.15 is asked for.

Change: below eight answers, as many slow ones as chance brings in one of 160 reviews suspend the version too, by the binomial distribution.

Evidence: TestReviewOfFewSlowAnswers failed before in three cases.

--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -162,6 +162,44 @@
 	}
 }
 
+// Guards against a slow version that completes because its few answers, all of them
+// slow, have a mean speed near that of a busy stable version, and against a sound
+// one that is taken for slow.
+func TestReviewOfFewSlowAnswers(t *testing.T) {
+	slowOf := func(v jdaw.ModelVersion, n, slow int, speed float64) guard.Counts {
+		c := counts(v, "a", uint64(n), 0, 0, 0)
+		for i := range n {
+			c = c.WithSpeed(speed)
+			if i < slow {
+				c = c.WithSlow()
+			}
+		}
+		return c
+	}
+	cases := map[string]struct {
+		answers, slow int
+		want          bool // suspended
+	}{
+		"all of seven":  {7, 7, true},
+		"six of seven":  {7, 6, true},
+		"all of five":   {5, 5, true},
+		"all of three":  {3, 3, false},
+		"four of seven": {7, 4, false},
+		"none of seven": {7, 0, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := evaluating()
+			m.Handle(start, slowOf(stable, 356, 112, 0.445))
+			m.Handle(start, slowOf(candidate, c.answers, c.slow, 0.319))
+			got := suspensions(m.Handle(start, guard.CompletionDue{Version: candidate}))
+			if (len(got) == 1) != c.want {
+				t.Errorf("suspensions %+v, want one: %v", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a version that completes although hardly anything is known of it,
 // and against one that is held because its service has no requests.
 func TestCompletionNeedsAnswers(t *testing.T) {
--- a/guard/speed.go
+++ b/guard/speed.go
@@ -28,6 +28,9 @@
 	// before a completion, which cannot be undone. Chance alone exceeds it in 1 of
 	// 160 evaluations of healthy versions.
 	reviewErrors = 2.5
+	// reviewChance is the same as a probability, for answers that are too few for a
+	// standard error.
+	reviewChance = 1.0 / 160
 	// minSlowRise is the rise of the share of slow answers to be detected.
 	minSlowRise = 0.35
 	// slowErrors is speedErrors for the share of slow answers: a few answers are
@@ -105,11 +108,31 @@
 		return false
 	}
 	if version.n < minTimed {
-		return stable.mean()-version.mean() >= minSpeedDrop
+		return stable.mean()-version.mean() >= minSpeedDrop || slowChance(version, stable) <= reviewChance
 	}
 	return dropExceeds(version, stable, manySpeedDrop, reviewErrors) || slowRiseExceeds(version, stable, reviewErrors)
 }
 
+// slowChance returns the probability that at least as many answers of the version
+// are slow by chance if the stable version's share of slow answers applies.
+func slowChance(version, stable speeds) float64 {
+	share := max(stable.slowShare(), leastSlowShare)
+	chance := 0.0
+	for k := version.slow; k <= version.n; k++ {
+		chance += binomial(version.n, k) * math.Pow(share, k) * math.Pow(1-share, version.n-k)
+	}
+	return chance
+}
+
+// binomial returns the number of ways to choose k of n.
+func binomial(n, k float64) float64 {
+	ways := 1.0
+	for i := 1.0; i <= k; i++ {
+		ways *= (n - k + i) / i
+	}
+	return ways
+}
+
 func (c Counts) speeds() speeds {
 	return speeds{ratings: ratings{n: float64(c.Timed), sum: c.SpeedSum, squares: c.SpeedSquareSum}, slow: float64(c.Slow)}
 }
