--- a/relay/broken_stream_test.go
+++ b/relay/broken_stream_test.go
@@ -22,15 +22,15 @@
 		}
 	}
 	cases := map[string]http.HandlerFunc{
-		"500":                answer(http.StatusInternalServerError, "text/plain"),
-		"404":                answer(http.StatusNotFound, "text/plain"),
-		"429 that is no vow": answer(http.StatusTooManyRequests, "application/json"),
-		"400 as a stream":    answer(http.StatusBadRequest, "text/event-stream"),
-		"200 in plain text":  answer(http.StatusOK, "text/plain"),
-		"200 without a type": answer(http.StatusOK, ""),
-		"206":                answer(http.StatusPartialContent, "text/event-stream"),
-		"refused":            shed,
-		"connection ends":    hangUp,
+		"500":                 answer(http.StatusInternalServerError, "text/plain"),
+		"404":                 answer(http.StatusNotFound, "text/plain"),
+		"429 without Not-Run": answer(http.StatusTooManyRequests, "application/json"),
+		"400 as a stream":     answer(http.StatusBadRequest, "text/event-stream"),
+		"200 in plain text":   answer(http.StatusOK, "text/plain"),
+		"200 without a type":  answer(http.StatusOK, ""),
+		"206":                 answer(http.StatusPartialContent, "text/event-stream"),
+		"refused":             shed,
+		"connection ends":     hangUp,
 		"head inside an event": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Type", "text/event-stream")
 			_, _ = io.WriteString(w, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nerror")
--- a/relay/cut_test.go
+++ b/relay/cut_test.go
@@ -38,7 +38,7 @@
 		"refusal":                      {config.RouteUnsafe, "HTTP/1.1 503 Full\r\nId: %s\r\nSigned: u0\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull", false},
 		"stream that ends unframed":    {config.RouteStreaming, head("") + events, true},
 		"plain that ends with a reset": {config.RouteSafe, head("") + events, true},
-		"failure in chunks, not a vow": {config.RouteUnsafe, strings.Replace(inChunks, "200 OK", "500 Failed", 1), false},
+		"failure in chunks":            {config.RouteUnsafe, strings.Replace(inChunks, "200 OK", "500 Failed", 1), false},
 		"interim response before it":   {config.RouteUnsafe, "HTTP/1.1 103 Early Hints\r\n\r\n" + withLength, false},
 		"another request's before it":  {config.RouteUnsafe, "HTTP/1.1 503 Full\r\nId: other\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull" + withLength, false},
 		"stream, another's before it":  {config.RouteStreaming, "HTTP/1.1 200 OK\r\nId: other\r\nSigned: u0\r\nContent-Length: 4\r\n\r\ndata" + inChunks, false},
