--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the scripts. The build of the deploy file comes first.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-standin ./review/standin
+go build -o target/review-standin ./review/platform
--- a/review/standin/main.go
+++ b/review/platform/main.go
@@ -1,4 +1,4 @@
-// Command standin plays the cases of the review: it starts the relays as separate
+// Command platform plays the cases of the review: it starts the relays as separate
 // processes, and stands in for the platform's store, the runners and the clients.
 //
 // # Usage
