platform, fleet: an odd entry no longer decides which version a service uses

Cause: an entry of another writer without coldRemainingMs, sequence and born was taken for an upstream, since these fields were optional. And without a roll-out a service runs on the version of the entry that was seen first; after a full read, that was the one with the smallest key. One entry was enough to take the version of all others out of use.

The version in use is that of most upstreams that stay, of equals the one seen first, and entries of one full read count as seen together. The version that a roll-out replaces is chosen in the same way, no longer at random.

--- a/fleet/events.go
+++ b/fleet/events.go
@@ -27,6 +27,15 @@
 // IsCold reports whether the upstream has to be kept at a reduced load.
 func (u *Upstream) IsCold(at time.Time) bool { return at.Before(u.ColdUntil) }
 
+// precedes reports whether the upstream was seen before another one; of those in
+// one full read, whether its entry was written before.
+func (u *Upstream) precedes(other *Upstream) bool {
+	if !u.SeenAt.Equal(other.SeenAt) {
+		return u.SeenAt.Before(other.SeenAt)
+	}
+	return u.Revision < other.Revision
+}
+
 // Reloading starts a full read; items that do not follow were removed.
 type Reloading struct {
 	// Outage is the time without contact to the store before.
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -60,6 +60,7 @@
 
 // reload records the entries seen in a full read.
 type reload struct {
+	startedAt time.Time
 	outage    time.Duration
 	upstreams map[jdaw.UpstreamID]bool
 	members   map[string]bool
@@ -100,7 +101,7 @@
 	switch ev := ev.(type) {
 	case Reloading:
 		m.reload = &reload{
-			outage: ev.Outage, upstreams: map[jdaw.UpstreamID]bool{}, members: map[string]bool{},
+			startedAt: at, outage: ev.Outage, upstreams: map[jdaw.UpstreamID]bool{}, members: map[string]bool{},
 			out: map[jdaw.DataCentre]bool{}, orders: map[string]bool{},
 			quarantined: map[jdaw.PromptPartKey]bool{},
 		}
@@ -157,6 +158,9 @@
 		return
 	}
 	u.SeenAt = at
+	if m.reload != nil {
+		u.SeenAt = m.reload.startedAt // the order of a full read says nothing about age
+	}
 	if old != nil && old.Born == u.Born {
 		u.SeenAt, u.ColdUntil = old.SeenAt, old.ColdUntil
 	}
@@ -319,17 +323,31 @@
 	}
 }
 
-// baseline returns the version of the entry that was written first. It is the
-// one to use while no order names another.
+// baseline returns the version of most upstreams that stay; of equals, that of the
+// upstream seen first. It is the version to use while no order names another. The
+// first entry alone doesn't decide: another writer may have left it.
 func baseline(list []Upstream) string {
-	first := 0
+	staying, first := map[string]int{}, map[string]*Upstream{}
 	for i := range list {
-		if list[i].SeenAt.Before(list[first].SeenAt) ||
-			list[i].SeenAt.Equal(list[first].SeenAt) && list[i].Revision < list[first].Revision {
-			first = i
+		u := &list[i]
+		if !u.Leaving {
+			staying[u.Version]++
+		}
+		if known := first[u.Version]; known == nil || u.precedes(known) {
+			first[u.Version] = u
 		}
 	}
-	return list[first].Version
+	var best *Upstream
+	for version, u := range first {
+		if best == nil || staying[version] > staying[best.Version] ||
+			staying[version] == staying[best.Version] && u.precedes(best) {
+			best = u
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.Version
 }
 
 // document expresses the roll-outs as a configuration, the form that package
@@ -361,13 +379,15 @@
 	return doc
 }
 
+// stableVersion returns the version that a roll-out replaces.
 func (m *Machine) stableVersion(r Rollout) string {
+	var list []Upstream
 	for _, u := range m.upstreams {
 		if u.Service == r.Service && u.Version != r.Version {
-			return u.Version
+			list = append(list, *u)
 		}
 	}
-	return ""
+	return baseline(list)
 }
 
 func (m *Machine) memberView(st *State) *jdaw.View {
--- a/fleet/machine_test.go
+++ b/fleet/machine_test.go
@@ -107,6 +107,80 @@
 	}
 }
 
+// Guards against one entry of another writer that makes its version the only one
+// of the service.
+func TestBaseline(t *testing.T) {
+	leaving := func(ev UpstreamSeen) UpstreamSeen {
+		ev.Upstream.Leaving = true
+		return ev
+	}
+	cases := map[string]struct {
+		read  []UpstreamSeen // of the full read, one millisecond each
+		later []UpstreamSeen
+		want  string
+	}{
+		"an odd entry that is read first": {
+			read: []UpstreamSeen{seen("a", "v0", 9), seen("u1", "v1", 5), seen("u2", "v1", 6)}, want: "v1",
+		},
+		"an odd entry that was written first": {
+			read: []UpstreamSeen{seen("a", "v0", 1), seen("u1", "v1", 5), seen("u2", "v1", 6)}, want: "v1",
+		},
+		"an odd entry that was seen long before": {
+			read: []UpstreamSeen{seen("a", "v0", 1)}, later: []UpstreamSeen{seen("u1", "v1", 5), seen("u2", "v1", 6)}, want: "v1",
+		},
+		"of one each, the one written first": {
+			read: []UpstreamSeen{seen("a", "v0", 9), seen("u1", "v1", 5)}, want: "v1",
+		},
+		"of one each, the one seen first": {
+			read: []UpstreamSeen{seen("u1", "v1", 8)}, later: []UpstreamSeen{seen("u2", "v2", 9)}, want: "v1",
+		},
+		"upstreams that leave don't count": {
+			read: []UpstreamSeen{leaving(seen("u2", "v2", 5)), leaving(seen("u3", "v2", 6)), seen("u1", "v1", 7)}, want: "v1",
+		},
+		"unless all leave": {
+			read: []UpstreamSeen{leaving(seen("u1", "v1", 7))}, want: "v1",
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := newTestMachine("a", "a")
+			at := start
+			for _, ev := range c.read {
+				at = at.Add(time.Millisecond)
+				m.Handle(at, ev)
+			}
+			st := lastState(m.Handle(at, Synced{Reloaded: true}))
+			for _, ev := range c.later {
+				at = at.Add(time.Second)
+				m.Handle(at, ev)
+				st = lastState(m.Handle(at, Synced{}))
+			}
+			if got := st.Baseline[service]; got != c.want {
+				t.Errorf("the service runs on %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a trial of a roll-out that starts again since an entry of another
+// writer takes the place of the stable version.
+func TestStableVersionBesideAnOddEntry(t *testing.T) {
+	m := rolloutMachine("a")
+	m.Handle(start, seen("u3", "v1", 11))
+	m.Handle(start, seen("odd", "v0", 12))
+	for range 50 {
+		st := lastState(m.Handle(start, Synced{}))
+		if st == nil {
+			m.dirty = true
+			continue
+		}
+		if got := m.stableVersion(st.Rollouts[service]); got != "v1" {
+			t.Fatalf("the stable version is %s, want v1", got)
+		}
+		m.dirty = true
+	}
+}
+
 // rolloutMachine returns a machine with an order to roll out v2 in 20 s.
 func rolloutMachine(self jdaw.VMID) *Machine {
 	m := newTestMachine(self, "a", "b")
