relay: count crashes in the middle of an answer as evidence against its prompt

Cause: the first event of an answer counted as the answer. An engine that crashed after it gave no evidence, and the event cleared the part on all VMs. Requests in progress at the crash were not counted at all.

Change: a crash counts against the prompts of all requests at the process that were not answered to the end, and only a complete answer clears them. A process that has announced its end and then cuts a stream is no crash. An answer other than a stream that is cut by a crash is reported too.

TestOnlyCrashesBeforeTheFirstEventAreReported was wrong: its case 'crash after the first event' required that an answer and no crash be reported. TestCrashesBeforeTheEndOfAnAnswerAreReported takes its place with all its cases, that one turned round, and eight more.

--- a/crash.go
+++ b/crash.go
@@ -31,7 +31,7 @@
 	return SuspectPart{Key: PromptPartKeyOf(service, id), ID: id[:min(len(id), maxPartName)]}
 }
 
-// Crash is one request that an upstream had not begun to answer when its process
+// Crash is one request that an upstream had not answered to the end when its process
 // crashed.
 type Crash struct {
 	Process uint64 // hash of the upstream's id and start
--- a/poison/detector.go
+++ b/poison/detector.go
@@ -105,7 +105,8 @@
 	d.addCrash(at, evidence{Crash: c, isLocal: true})
 }
 
-// Answered records that an upstream has begun to answer a request.
+// Answered records that an upstream of the service answers, and that it has
+// answered parts to the end.
 func (d *Detector) Answered(at time.Time, service string, parts []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/poison/doc.go
+++ b/poison/doc.go
@@ -3,17 +3,18 @@
 //
 // The health of upstreams doesn't help against such a part: each crash only
 // moves its requests to the next upstream. A [Detector] therefore collects, from
-// all VMs, the requests that an upstream had not begun to answer when its
-// process ended. A part is quarantined if attempts with it, each of them sent
-// after the one before had ended, crashed several processes, and no upstream
-// has answered a request with it lately. Sound parts that happen to be at the
+// all VMs, the requests that an upstream had not answered to the end when its
+// process crashed: an upstream may crash at any event of an answer. A part is
+// quarantined if attempts with it, each of them sent after the one before had
+// ended, crashed several processes, and no upstream has answered a request with it
+// to the end lately. Sound parts that happen to be at the
 // same upstreams are answered elsewhere, which clears them.
 //
 // # Usage
 //
 //	d := poison.New(poison.Config{Log: log})
 //	d.Crashed(now, crash)                      // an upstream's process ended
-//	d.Answered(now, service, parts)            // the first event of an answer
+//	d.Answered(now, service, parts)            // a complete answer
 //	q, ok := d.Find(now, service, parts)       // before a request is sent
 //
 // Package loads carries the evidence between VMs, and the VM that decides
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -36,7 +36,7 @@
 		return nil, errors.Wrap(err, "create relay_upstream_notices")
 	}
 	crashes, err := m.Int64Counter("relay_crashed_requests",
-		metric.WithDescription("requests at an upstream whose process ended before it had begun to answer them"))
+		metric.WithDescription("requests at an upstream whose process crashed before the end of their answer"))
 	return &Metrics{requests: requests, duration: duration, notices: notices, crashes: crashes}, errors.Wrap(err, "create relay_crashed_requests")
 }
 
--- a/relay/poison.go
+++ b/relay/poison.go
@@ -14,7 +14,8 @@
 type Poison interface {
 	// Crashed records a request that was at an upstream when its process ended.
 	Crashed(at time.Time, c jdaw.Crash)
-	// Answered records that an upstream has begun to answer a request.
+	// Answered records that an upstream of the service answers, and that it has
+	// answered parts to the end.
 	Answered(at time.Time, service string, parts []string)
 	// Find returns the quarantine of the first of the parts that has one.
 	Find(at time.Time, service string, parts []string) (jdaw.Quarantine, bool)
@@ -34,19 +35,28 @@
 	return c.notRunError(jdaw.CodeQuarantined, "part %q of the prompt crashes upstreams", q.Part.ID)
 }
 
-// reportAnswer clears the parts of the prompt: an upstream has answered them.
+// reportBegun reports that the service answers.
+func (c *call) reportBegun(at time.Time) {
+	if c.x.cfg.Poison != nil {
+		c.x.cfg.Poison.Answered(at, c.service, nil)
+	}
+}
+
+// reportAnswer clears the parts of the prompt: an upstream has answered them. A
+// begun answer doesn't clear them, since the upstream may crash at any of its
+// events.
 func (c *call) reportAnswer(at time.Time) {
 	if c.x.cfg.Poison != nil {
 		c.x.cfg.Poison.Answered(at, c.service, sharedPartIDs(c.info.Prompt))
 	}
 }
 
-// reportCrash reports a failed attempt if the upstream's process ended before it
-// had begun to answer.
+// reportCrash reports a failed attempt if the upstream's process crashed before
+// the end of its answer.
 func (c *call) reportCrash(a *attempt, v attemptResult) {
 	parts := sharedPartIDs(c.info.Prompt)
 	isCut := v.outcome == outcomeFailed && v.err != nil && !a.isAbandoned.Load() && c.ctx.Err() == nil
-	if c.x.cfg.Poison == nil || len(parts) == 0 || !isCut || a.events > 0 {
+	if c.x.cfg.Poison == nil || len(parts) == 0 || !isCut || c.isLeaving(a) {
 		return
 	}
 	ended := time.Now()
@@ -64,5 +74,20 @@
 	c.x.cfg.Metrics.crashed()
 	c.x.cfg.Log.WithFields(logrus.Fields{
 		"request": c.info.ID, "upstream": a.reservation.ID, "address": a.reservation.Address, "service": c.service, "sharedParts": parts,
+		"events": a.events,
 	}).Warn("upstream crashed before it answered")
 }
+
+// isLeaving reports whether the upstream of an attempt has announced its end. Such
+// a process may end in the middle of an answer without a crash.
+func (c *call) isLeaving(a *attempt) bool {
+	if a.info.IsLeaving {
+		return true
+	}
+	for _, u := range c.x.cfg.Fleet.State().Upstreams[c.service] {
+		if u.ID == a.reservation.ID {
+			return u.Leaving
+		}
+	}
+	return true // its entry was removed
+}
--- a/relay/poison_test.go
+++ b/relay/poison_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"jackdawbarrow"
 	"jackdawbarrow/config"
+	"jackdawbarrow/fleet"
 )
 
 // poisonLog records what a relay reports, and quarantines one part.
@@ -29,7 +31,9 @@
 func (p *poisonLog) Answered(_ time.Time, service string, parts []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.answers = append(p.answers, service+" "+strings.Join(parts, ","))
+	if len(parts) > 0 {
+		p.answers = append(p.answers, service+" "+strings.Join(parts, ","))
+	}
 }
 
 func (p *poisonLog) Find(at time.Time, service string, parts []string) (jdaw.Quarantine, bool) {
@@ -43,29 +47,55 @@
 	return jdaw.Quarantine{}, false
 }
 
-func writeEvent(w http.ResponseWriter) {
-	_, _ = w.Write([]byte("id: 1\ndata: x\n\n"))
-	_ = http.NewResponseController(w).Flush()
+// writeEvents writes the first events of an answer.
+func writeEvents(n int) func(w http.ResponseWriter) {
+	return func(w http.ResponseWriter) {
+		for i := range n {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
 }
 
-// Guards against crashes that are not reported, and against failures of other
+// Guards against crashes in the middle of an answer that are not reported, or whose
+// prompt counts as answered by its first events, and against failures of other
 // kinds that count as crashes.
-func TestOnlyCrashesBeforeTheFirstEventAreReported(t *testing.T) {
+func TestCrashesBeforeTheEndOfAnAnswerAreReported(t *testing.T) {
 	cases := map[string]struct {
 		end                    func(w http.ResponseWriter) // of an upstream
 		stops                  bool                        // the process ends as well
+		completes              bool                        // the answer is whole
+		isLeaving, isGone      bool                        // by the list of upstreams when it ends
 		wantCrash, wantAnswers int
 	}{
-		"crash before the head":       {end: func(http.ResponseWriter) {}, stops: true, wantCrash: 1},
-		"crash in the first event":    {end: func(w http.ResponseWriter) { _, _ = w.Write([]byte("id: 1\nda")) }, stops: true, wantCrash: 1},
-		"crash after the first event": {end: writeEvent, stops: true, wantAnswers: 1},
-		"a connection that ends":      {end: func(http.ResponseWriter) {}},
-		"a stream that ends":          {end: func(w http.ResponseWriter) { _, _ = w.Write([]byte("id: 1\nda")) }},
-		"a failure of the upstream":   {end: func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }},
+		"crash before the head":                        {end: func(http.ResponseWriter) {}, stops: true, wantCrash: 1},
+		"crash in the first event":                     {end: func(w http.ResponseWriter) { _, _ = w.Write([]byte("id: 1\nda")) }, stops: true, wantCrash: 1},
+		"crash after the first event":                  {end: writeEvents(1), stops: true, wantCrash: 1},
+		"crash after the fifth event":                  {end: writeEvents(5), stops: true, wantCrash: 1},
+		"crash after the whole answer":                 {end: writeEvents(3), stops: true, completes: true, wantAnswers: 1},
+		"a whole answer":                               {end: writeEvents(3), completes: true, wantAnswers: 1},
+		"a connection that ends":                       {end: func(http.ResponseWriter) {}},
+		"a stream that ends":                           {end: func(w http.ResponseWriter) { _, _ = w.Write([]byte("id: 1\nda")) }},
+		"a stream that ends after the first event":     {end: writeEvents(1)},
+		"a planned end of the process":                 {end: writeEvents(1), stops: true, isLeaving: true},
+		"a planned end of a process without its entry": {end: writeEvents(1), stops: true, isGone: true},
+		"a planned end announced in the answer": {end: func(w http.ResponseWriter) {
+			w.Header().Set("Leaving", "1")
+			writeEvents(1)(w)
+		}, stops: true},
+		"a failure of the upstream": {end: func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }, completes: true},
+		"a failure cut by a crash": {
+			end: func(w http.ResponseWriter) {
+				w.Header().Set("Content-Length", "9")
+				w.WriteHeader(http.StatusNotFound)
+				_, _ = w.Write([]byte("no"))
+				_ = http.NewResponseController(w).Flush()
+			}, stops: true, wantCrash: 1,
+		},
 		"a refusal before a crash ends": {end: func(w http.ResponseWriter) {
 			w.Header().Set("Not-Run", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
-		}, stops: true},
+		}, stops: true, completes: true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -74,11 +104,19 @@
 			log := &poisonLog{}
 			var d *deployment
 			d, url := startWith(t, r, log, func(w http.ResponseWriter, _ *http.Request) {
+				if c.isLeaving {
+					u := d.State().Upstreams["s"][0]
+					u.Leaving = true
+					d.withUpstreams([]fleet.Upstream{u})
+				}
+				if c.isGone {
+					d.withUpstreams(nil)
+				}
 				c.end(w)
 				if c.stops {
 					_ = d.listeners[0].Close()
 				}
-				if w.Header().Get("Not-Run") == "" && name != "a failure of the upstream" {
+				if !c.completes {
 					panic(http.ErrAbortHandler)
 				}
 			})
@@ -102,7 +140,7 @@
 // not run after an upstream has crashed with it.
 func TestQuarantinedPartReachesNoUpstream(t *testing.T) {
 	log := &poisonLog{quarantined: "doc"}
-	d, url := startWith(t, route(config.RouteStreaming), log, func(w http.ResponseWriter, _ *http.Request) { writeEvent(w) })
+	d, url := startWith(t, route(config.RouteStreaming), log, func(w http.ResponseWriter, _ *http.Request) { writeEvents(1)(w) })
 	got := send(t, url, http.MethodPost, "/a/b", map[string]string{"Prompt": "doc"})
 	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 	if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, `"code":1314`) || err != nil || after < 59 || after > 61 {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -79,8 +79,22 @@
 	outcomes  []fleet.Outcome
 }
 
-func (d *deployment) State() *fleet.State { return d.state }
-func (d *deployment) IsCurrent() bool     { return !d.isBehind }
+func (d *deployment) State() *fleet.State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state
+}
+
+// withUpstreams puts a state with other upstreams of the service in force.
+func (d *deployment) withUpstreams(list []fleet.Upstream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	st := *d.state
+	st.Upstreams = map[string][]fleet.Upstream{"s": list}
+	d.state = &st
+}
+
+func (d *deployment) IsCurrent() bool { return !d.isBehind }
 func (d *deployment) Count(o fleet.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -68,6 +68,7 @@
 				c.last = a
 				c.count(a, v)
 				a.end(outcomeOK)
+				c.reportAnswer(a.last)
 				return nil
 			}
 			v, ended = c.unknownOutcome(a, "the stream broke: "+err.Error()), true
@@ -122,8 +123,10 @@
 func (c *call) forwardWhole(a *attempt, o outcome) error {
 	body, err := c.memory.readBody(a.response.Body, maxPlainAnswer)
 	if err != nil {
-		a.end(outcomeFailed)
-		return jdaw.Fail(jdaw.CodeOutcomeUnknown, "the response was truncated: %s", err)
+		v := c.unknownOutcome(a, "the response was truncated: "+err.Error())
+		a.end(v.outcome)
+		c.reportCrash(a, v)
+		return v.err
 	}
 	a.end(o)
 	return c.writePlain(a.response, body)
@@ -268,7 +271,7 @@
 		a.idleTimer.Reset(s.idleTimeout(true))
 		a.sawEvent(time.Now())
 		if a.events == 1 {
-			c.reportAnswer(a.first)
+			c.reportBegun(a.first)
 		}
 		if a.events == 1 && s.isEscalated() {
 			c.x.prefillRates.observe(a.first, c.service, a.reservation.queue, a.first.Sub(a.sentAt))
