poison: watch the last part of a prompt, which its repeats share

Shared parts of sound requests were quarantined in its place.

Cause: the last part of a prompt was taken for the request's own and left out of evidence, answers and the check before dispatch. All deadly requests had the same last part; no other suspect was left but the parts of sound requests that met the same crashes.

Change: all parts count. A prompt goes before what it shares; if nobody is answered with the deepest shared part for 1 s, that one is kept back for one minute. Prompts that explain all crashes each by itself are no rivals of the part that they share.

In the tests of package poison, each request now has a last part, as the relay reports it; the expected results are unchanged.

Evidence: with the new tests on the code before, relay tests fail in seven cases of reports and in the check, TestDecide in two, and TestPromptCrashesUpstreamsOnlyAtFirst (a sound shared part is quarantined at all four VMs).

--- a/crash.go
+++ b/crash.go
@@ -39,7 +39,7 @@
 	Service string
 	Sent    time.Time // of the request to the upstream
 	Ended   time.Time
-	Parts   []SuspectPart // shared ones, in the order of the prompt
+	Parts   []SuspectPart // in the order of the prompt; the last one is its own
 }
 
 // WithParts returns a copy with other parts.
--- a/poison/detector.go
+++ b/poison/detector.go
@@ -21,7 +21,7 @@
 	// maxCrashes and maxAnswered bound the evidence that is kept; callers choose
 	// the IDs of parts.
 	maxCrashes  = 512
-	maxAnswered = 1 << 14
+	maxAnswered = 1 << 15
 	// toldFor is the time for which a crash is told in each message: messages may be
 	// lost, and the VM that decides may be replaced.
 	toldFor = 5 * time.Second
@@ -58,11 +58,14 @@
 	// companions are parts that were in every request with a quarantined part, and
 	// explained the processes that quarantined parts crashed.
 	companions map[jdaw.PromptPartKey]time.Time
+	doubted    []doubt
 	explained  map[uint64]time.Time
 	decided    map[jdaw.PromptPartKey]decision
 	stored     map[jdaw.PromptPartKey]jdaw.Quarantine
 	reported   map[jdaw.PromptPartKey]time.Time // last report of another VM
 	expiredAt  time.Time                        // last search for expired answers
+	crashedAt  time.Time                        // last crash that became known
+	weighedAt  time.Time                        // last time that the evidence was weighed
 }
 
 // evidence is a crash and whether a VM of this data centre saw it.
@@ -81,6 +84,8 @@
 type decision struct {
 	jdaw.Quarantine
 	writtenAt time.Time
+	// isProvisional is set for one that the store doesn't get.
+	isProvisional bool
 }
 
 // New returns a detector without evidence.
@@ -140,7 +145,8 @@
 	if q, ok := d.stored[key]; ok {
 		return q, true
 	}
-	return jdaw.Quarantine{Until: at.Add(jdaw.QuarantineTime)}, d.isReported(at, key)
+	// One that lasts longer will be in the store by then.
+	return jdaw.Quarantine{Until: at.Add(provisionalTime)}, d.isReported(at, key)
 }
 
 func (d *Detector) isReported(at time.Time, key jdaw.PromptPartKey) bool {
@@ -249,7 +255,7 @@
 	defer d.mu.Unlock()
 	var list []jdaw.Quarantine
 	for key, q := range d.decided {
-		if _, ok := d.stored[key]; ok || at.Sub(q.writtenAt) < storeRetryTime || !at.Before(q.Until) {
+		if _, ok := d.stored[key]; ok || q.isProvisional || at.Sub(q.writtenAt) < storeRetryTime || !at.Before(q.Until) {
 			continue
 		}
 		q.writtenAt = at
@@ -330,6 +336,7 @@
 	c.Crash = c.WithParts(suspects)
 	d.crashes = append(d.crashes, c)
 	d.crashes = d.crashes[max(0, len(d.crashes)-maxCrashes):]
+	d.crashedAt = at
 	select {
 	case d.changed <- struct{}{}:
 	default:
--- a/poison/detector_test.go
+++ b/poison/detector_test.go
@@ -31,15 +31,19 @@
 type crash struct {
 	process, request string
 	sent, ended      int
-	parts            string // separated by spaces
+	parts            string // shared ones, separated by spaces
 }
 
+// prompt returns the last part of the prompt. Requests whose names differ in the
+// number at the end repeat one prompt.
+func (c crash) prompt() string { return "own-" + strings.TrimRight(c.request, "0123456789") }
+
 func (c crash) value() jdaw.Crash {
 	v := jdaw.Crash{
 		Process: xxhash.Sum64String(c.process), Request: xxhash.Sum64String(c.request), Service: service,
 		Sent: after(c.sent), Ended: after(c.ended),
 	}
-	for _, id := range strings.Fields(c.parts) {
+	for _, id := range append(strings.Fields(c.parts), c.prompt()) {
 		v.Parts = append(v.Parts, jdaw.NewSuspectPart(service, id))
 	}
 	return v
@@ -156,11 +160,11 @@
 		"sound requests at the same upstreams": {
 			[]any{
 				crash{"u1", "a", 0, 100, "team bad"},
-				crash{"u1", "s1", 0, 100, "team good"},
+				crash{"u1", "sx", 0, 100, "team good"},
 				crash{"u2", "a", 100, 300, "team bad"},
-				crash{"u2", "s1", 100, 300, "team good"},
+				crash{"u2", "sx", 100, 300, "team good"},
 				crash{"u3", "b", 310, 500, "team bad"},
-				crash{"u3", "s2", 310, 500, "team good"},
+				crash{"u3", "sy", 310, 500, "team good"},
 				crash{"u4", "b", 510, 700, "team bad"},
 				answered{800, "other"},
 			}, 1000, "bad",
@@ -172,11 +176,11 @@
 				crash{"u3", "b", 310, 500, "team bad"},
 				answered{600, "other"},
 				decide(700),
-				crash{"u3", "s1", 310, 500, "team good"},
+				crash{"u3", "sx", 310, 500, "team good"},
 				crash{"u4", "b", 600, 900, "team bad"},
-				crash{"u4", "s1", 600, 900, "team good"},
+				crash{"u4", "sx", 600, 900, "team good"},
 				crash{"u5", "c", 650, 1100, "team bad"},
-				crash{"u5", "s2", 950, 1100, "team good"},
+				crash{"u5", "sy", 950, 1100, "team good"},
 				answered{1200, "other"},
 			}, 2000, "bad",
 		},
@@ -196,26 +200,83 @@
 		"a sound rare part at the same upstreams as one request with the deadly part": {
 			[]any{
 				crash{"u1", "a", 0, 100, "team bad"},
-				crash{"u1", "s1", 0, 100, "good"},
+				crash{"u1", "sx", 0, 100, "good"},
 				crash{"u2", "a", 100, 300, "team bad"},
-				crash{"u2", "s1", 100, 300, "good"},
+				crash{"u2", "sx", 100, 300, "good"},
 				crash{"u3", "a", 300, 500, "team bad"},
-				crash{"u3", "s2", 310, 500, "good"},
+				crash{"u3", "sy", 310, 500, "good"},
 				answered{900, "other"},
 			}, 1000, "",
 		},
 		"the next crash after it": {
 			[]any{
 				crash{"u1", "a", 0, 100, "team bad"},
-				crash{"u1", "s1", 0, 100, "good"},
+				crash{"u1", "sx", 0, 100, "good"},
 				crash{"u2", "a", 100, 300, "team bad"},
-				crash{"u2", "s1", 100, 300, "good"},
+				crash{"u2", "sx", 100, 300, "good"},
 				crash{"u3", "a", 300, 500, "team bad"},
-				crash{"u3", "s2", 310, 500, "good"},
+				crash{"u3", "sy", 310, 500, "good"},
 				answered{900, "other"},
 				crash{"u4", "b", 510, 950, "team bad"},
 			}, 1000, "bad",
 		},
+		"one prompt that is sent again": {
+			[]any{
+				crash{"u1", "p1", 0, 100, "team"},
+				crash{"u2", "p1", 100, 300, "team"},
+				crash{"u3", "p2", 310, 500, "team"},
+				answered{600, "team"},
+			}, 1000, "own-p",
+		},
+		"one prompt without shared parts": {
+			[]any{
+				crash{"u1", "p1", 0, 100, ""},
+				crash{"u2", "p1", 100, 300, ""},
+				crash{"u3", "p2", 310, 500, ""},
+				answered{600, "other"},
+			}, 1000, "own-p",
+		},
+		"one prompt whose shared part nobody else has": {
+			[]any{
+				crash{"u1", "p1", 0, 100, "team bad"},
+				crash{"u2", "p1", 100, 300, "team bad"},
+				crash{"u3", "p2", 310, 500, "team bad"},
+				answered{600, "team"},
+			}, 1000, "own-p",
+		},
+		"a sound prompt beside it with the same shared part": {
+			[]any{
+				crash{"u1", "p1", 0, 100, "team"},
+				crash{"u1", "sx", 0, 100, "team"},
+				crash{"u2", "p1", 100, 300, "team"},
+				crash{"u3", "p1", 310, 500, "team"},
+				crash{"u3", "sy", 320, 500, "team"},
+				answered{600, "other"},
+			}, 1000, "",
+		},
+		"two prompts that each explain all crashes": {
+			[]any{
+				crash{"u1", "p1", 0, 100, "team bad"},
+				crash{"u1", "q1", 0, 100, "team bad"},
+				crash{"u2", "p1", 100, 300, "team bad"},
+				crash{"u2", "q1", 100, 300, "team bad"},
+				crash{"u3", "p2", 310, 500, "team bad"},
+				crash{"u3", "q2", 310, 500, "team bad"},
+				crash{"u4", "p2", 510, 700, "team bad"},
+				crash{"u4", "q2", 510, 700, "team bad"},
+				crash{"u5", "p2", 710, 900, "team bad"},
+				crash{"u5", "q2", 710, 900, "team bad"},
+				answered{950, "team"},
+			}, 1500, "bad",
+		},
+		"a prompt that was answered": {
+			[]any{
+				crash{"u1", "p1", 0, 100, "team"},
+				crash{"u2", "p1", 100, 300, "team"},
+				answered{400, "team own-p"},
+				crash{"u3", "p2", 410, 500, "team"},
+			}, 1000, "",
+		},
 		"two parts at once": {
 			[]any{
 				crash{"u1", "a", 0, 100, "team bad"},
@@ -256,6 +317,57 @@
 	}
 }
 
+// Guards against a shared part that goes on crashing upstreams when the quarantined
+// prompt is gone, and against one that is kept back though others were answered, or
+// for long.
+func TestSharedPartOfAQuarantinedPrompt(t *testing.T) {
+	cases := map[string]struct {
+		answered string // after the quarantine of the prompt
+		want     string
+	}{
+		"nobody was answered": {"team", "bad own-p"},
+		"others were":         {"team bad", "own-p"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDetector()
+			d.play([]any{
+				crash{"u1", "p1", 0, 100, "team bad"},
+				crash{"u2", "p1", 100, 300, "team bad"},
+				crash{"u3", "p2", 310, 500, "team bad"},
+				answered{600, "team"},
+				decide(1000),
+				answered{1100, c.answered},
+				decide(2000),
+			})
+			if got := d.quarantined(); got != c.want {
+				t.Errorf("quarantined %q, want %q", got, c.want)
+			}
+			if got := d.Unstored(after(2000)); len(got) != 1 || got[0].Part.ID != "own-p" {
+				t.Errorf("to be stored: %v, want the prompt alone", got)
+			}
+			d.play([]any{decide(62_500)})
+			if got := d.quarantined(); got != "own-p" {
+				t.Errorf("quarantined %q after a minute, want the prompt alone", got)
+			}
+		})
+	}
+}
+
+// Guards against time that grows with the evidence: after the crash of many
+// upstreams at once, each message would weigh all of it.
+func TestEvidenceIsWeighedSeldom(t *testing.T) {
+	d := newDetector()
+	d.play([]any{crash{"u1", "a", 0, 100, "x"}, decide(200), decide(5000), decide(5100)})
+	if got := d.weighedAt; !got.Equal(after(5000)) {
+		t.Errorf("weighed at %v, want 5 s", got.Sub(began))
+	}
+	d.play([]any{crash{"u2", "b", 5100, 5150, "x"}, decide(5200)})
+	if got := d.weighedAt; !got.Equal(after(5200)) {
+		t.Errorf("weighed at %v after a crash, want 5.2 s", got.Sub(began))
+	}
+}
+
 // guilty is the evidence against the part "bad".
 var guilty = []any{
 	crash{"u1", "a", 0, 100, "bad"}, crash{"u2", "a", 100, 300, "bad"}, crash{"u3", "b", 310, 500, "bad"}, answered{600, "other"},
--- a/poison/doc.go
+++ b/poison/doc.go
@@ -1,5 +1,5 @@
-// Package poison finds prompt parts that crash upstreams ("queries of death")
-// and keeps them from the upstreams that are left.
+// Package poison finds prompts and prompt parts that crash upstreams ("queries of
+// death") and keeps them from the upstreams that are left.
 //
 // The health of upstreams doesn't help against such a part: each crash only
 // moves its requests to the next upstream. A [Detector] therefore collects, from
@@ -7,8 +7,9 @@
 // process crashed: an upstream may crash at any event of an answer. A part is
 // quarantined if attempts with it, each of them sent after the one before had
 // ended, crashed several processes, and no upstream has answered a request with it
-// to the end lately. Sound parts that happen to be at the
-// same upstreams are answered elsewhere, which clears them.
+// to the end lately. Sound parts that happen to be at the same upstreams are
+// answered elsewhere, which clears them. The last part of a prompt stands for the
+// prompt as a whole.
 //
 // # Usage
 //
--- a/relay/poison.go
+++ b/relay/poison.go
@@ -23,7 +23,7 @@
 
 // checkQuarantine rejects a request with a quarantined part.
 func (c *call) checkQuarantine(at time.Time) error {
-	parts := sharedPartIDs(c.info.Prompt)
+	parts := partIDs(c.info.Prompt)
 	if c.x.cfg.Poison == nil || len(parts) == 0 {
 		return nil
 	}
@@ -47,14 +47,14 @@
 // events.
 func (c *call) reportAnswer(at time.Time) {
 	if c.x.cfg.Poison != nil {
-		c.x.cfg.Poison.Answered(at, c.service, sharedPartIDs(c.info.Prompt))
+		c.x.cfg.Poison.Answered(at, c.service, partIDs(c.info.Prompt))
 	}
 }
 
 // reportCrash reports a failed attempt if the upstream's process crashed before
 // the end of its answer.
 func (c *call) reportCrash(a *attempt, v attemptResult) {
-	parts := sharedPartIDs(c.info.Prompt)
+	parts := partIDs(c.info.Prompt)
 	isCut := v.outcome == outcomeFailed && v.err != nil && !a.isAbandoned.Load() && c.ctx.Err() == nil
 	if c.x.cfg.Poison == nil || len(parts) == 0 || !isCut || c.isLeaving(a) {
 		return
@@ -73,8 +73,8 @@
 	c.x.cfg.Poison.Crashed(ended, crash)
 	c.x.cfg.Metrics.crashed()
 	c.x.cfg.Log.WithFields(logrus.Fields{
-		"request": c.info.ID, "upstream": a.reservation.ID, "address": a.reservation.Address, "service": c.service, "sharedParts": parts,
-		"events": a.events,
+		"request": c.info.ID, "upstream": a.reservation.ID, "address": a.reservation.Address, "service": c.service,
+		"sharedParts": sharedPartIDs(c.info.Prompt), "lastPart": parts[len(parts)-1], "events": a.events,
 	}).Warn("upstream crashed before it answered")
 }
 
--- a/relay/poison_test.go
+++ b/relay/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -126,8 +127,15 @@
 			if len(log.crashes) != c.wantCrash || len(log.answers) != c.wantAnswers {
 				t.Fatalf("%d crashes and answers %q are reported, want %d and %d", len(log.crashes), log.answers, c.wantCrash, c.wantAnswers)
 			}
+			// The protocol of the tests takes the request's id for its own part.
+			wantParts := []jdaw.SuspectPart{jdaw.NewSuspectPart("s", "doc"), jdaw.NewSuspectPart("s", "q1")}
+			for _, answer := range log.answers {
+				if answer != "s doc,q1" {
+					t.Errorf("an answer to %q is reported", answer)
+				}
+			}
 			for _, crash := range log.crashes {
-				if crash.Service != "s" || len(crash.Parts) != 1 || crash.Parts[0] != jdaw.NewSuspectPart("s", "doc") || !crash.Ended.After(crash.Sent) {
+				if crash.Service != "s" || !slices.Equal(crash.Parts, wantParts) || !crash.Ended.After(crash.Sent) {
 					t.Errorf("reported %+v", crash)
 				}
 			}
@@ -149,6 +157,15 @@
 	if n := len(d.arrived()); n != 0 {
 		t.Errorf("%d requests reached the upstream", n)
 	}
+	log.mu.Lock()
+	log.quarantined = "q1" // the last part, which repeats of the prompt have
+	log.mu.Unlock()
+	if got := send(t, url, http.MethodPost, "/a/b", map[string]string{"Prompt": "other"}); got.status != http.StatusServiceUnavailable || len(d.arrived()) != 0 {
+		t.Errorf("a request whose last part is quarantined is answered %d", got.status)
+	}
+	log.mu.Lock()
+	log.quarantined = "doc"
+	log.mu.Unlock()
 	if got := send(t, url, http.MethodPost, "/a/b", map[string]string{"Prompt": "other"}); got.status != http.StatusOK {
 		t.Errorf("a request without the part is answered %d", got.status)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -185,16 +185,20 @@
 	return parts[len(parts)-2].ID
 }
 
-// sharedPartIDs returns the IDs of the parts that other requests may share: all
-// but the last.
-func sharedPartIDs(parts []jdaw.PromptPart) []string {
-	var ids []string
-	for i := 0; i+1 < len(parts); i++ {
-		ids = append(ids, parts[i].ID)
+// partIDs returns the IDs of the parts of a prompt. Other requests may share all but
+// the last, which only repeats of the same prompt have.
+func partIDs(parts []jdaw.PromptPart) []string {
+	ids := make([]string, 0, len(parts))
+	for _, part := range parts {
+		ids = append(ids, part.ID)
 	}
 	return ids
 }
 
+func sharedPartIDs(parts []jdaw.PromptPart) []string {
+	return partIDs(parts[:max(len(parts)-1, 0)])
+}
+
 // timeLimit returns the time within which the response must be complete.
 func (c *call) timeLimit() time.Duration {
 	limit := defaultTimeout
