relay, gate: final responses at the end of a planned stop

An operator of a similar system reported requests that were taken late in a planned stop, passed on, and cut without an answer at its end. Here a request in progress at 0.92 of the grace time was cut, one that may run once only too, though its upstream had run it.

Cause: only the HTTP server knew the end of the grace time; the relay took each request with its own time limit.

Change: the relay refuses (1303, not run) a request that may run once only if its limit reaches beyond the end; another VM can take it whole. At 0.9 of the grace time requests in progress get their final response, 504 where nothing was sent yet.

Evidence: TestEndOfADrain before the change: "a request in progress at the end got status 0, want 504"; after it: 504. TestDrain covers the decision by kind of route. Requests that are read after 0.35 of the grace time were and are not passed on.

--- a/gate/process.go
+++ b/gate/process.go
@@ -39,8 +39,10 @@
 	// acceptShare is the share of the grace time in which new requests are accepted,
 	// from callers with a stale list of VMs.
 	acceptShare = 0.35
-	// shutdownShare is the share of the grace time after which requests in flight are
-	// aborted.
+	// answerShare is the share of the grace time after which requests in flight get
+	// their final response.
+	answerShare = 0.9
+	// shutdownShare is the share of the grace time after which connections are closed.
 	shutdownShare = 0.92
 	// maxHeaderBytes and maxHeaderTime limit the header of a request, whatever the
 	// configuration allows.
@@ -378,14 +380,17 @@
 }
 
 // Drain removes the VM from the directory, accepts late requests for a while, waits
-// for requests in flight, and stops. It returns within the grace time.
+// for requests in flight, answers those that are left, and stops. It returns within
+// the grace time.
 func (p *Process) Drain(grace time.Duration) {
 	startedAt := time.Now()
 	p.draining.Store(true)
+	after := func(share float64) time.Time { return startedAt.Add(time.Duration(float64(grace) * share)) }
+	p.relay.Drain(after(answerShare))
 	p.node.Leave()
 	p.callers.SetKeepAlivesEnabled(false)
 	time.Sleep(time.Duration(float64(grace) * acceptShare))
-	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(time.Duration(float64(grace)*shutdownShare)))
+	ctx, cancel := context.WithDeadline(context.Background(), after(shutdownShare))
 	defer cancel()
 	if err := p.callers.Shutdown(ctx); err != nil {
 		p.cfg.Log.WithField("requests", p.inFlight.Load()).Warn("grace time exceeded; aborting requests in flight")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,11 +65,16 @@
 	abandonBudget    *tokenBucket
 	prefillRates     *prefillRates
 	memory           *memoryBudget
+	drainEnd         atomic.Pointer[time.Time] // nil until the VM is stopped
+	stopped          context.Context           // ends at drainEnd
+	stop             context.CancelFunc
 }
 
 // New returns a relay.
 func New(cfg Config) *Relay {
+	stopped, stop := context.WithCancel(context.Background())
 	return &Relay{
+		stopped: stopped, stop: stop,
 		cfg: cfg, picker: newPicker(cfg.Self, cfg.Backlogs), retryBudget: newRetryBudget(), eventTimesByKind: newEventTimesByKind(),
 		abandonBudget: newAbandonBudget(), prefillRates: newPrefillRates(), memory: newMemoryBudget(cfg.BodyMemory),
 	}
@@ -120,7 +126,7 @@
 	defer c.memory.release()
 	err := c.prepare()
 	if err == nil {
-		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+		ctx, cancel := c.context()
 		c.ctx = ctx
 		if c.route.Kind == config.RouteStreaming {
 			err = c.stream()
@@ -151,6 +157,9 @@
 		return err
 	}
 	c.deadline = c.startedAt.Add(c.timeLimit())
+	if err := c.checkDrain(); err != nil {
+		return err
+	}
 	if err := c.authenticate(st.Table); err != nil {
 		return err
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -69,6 +69,7 @@
 
 // deployment is a fixed state with fake upstreams.
 type deployment struct {
+	relay     *relay.Relay
 	state     *fleet.State
 	isBehind  bool
 	log       *logtest.Hook
@@ -174,9 +175,10 @@
 	d.log = logtest.NewLocal(log)
 	pool := dial.New(dial.Config{})
 	t.Cleanup(pool.Close)
-	srv := httptest.NewServer(relay.New(relay.Config{
+	d.relay = relay.New(relay.Config{
 		Self: "vm", Fleet: d, Protocol: protocol{}, Pool: pool, Planner: planner{}, Learner: planner{}, QualityTarget: 0.5, Log: log, BodyMemory: 32 << 20, Poison: p,
-	}))
+	})
+	srv := httptest.NewServer(d.relay)
 	t.Cleanup(srv.Close)
 	return d, srv.URL
 }
