--- a/backlog.go
+++ b/backlog.go
@@ -17,6 +17,8 @@
 	// them, both decayed and in units of 1/OutcomeUnit.
 	Ended  uint32
 	Failed uint32
+	// Running is the number of requests in flight at the upstream.
+	Running uint32
 }
 
 // OutcomeUnit is the value of one request in the outcome counts of
@@ -27,7 +29,7 @@
 func (l UpstreamLoad) With(other UpstreamLoad) UpstreamLoad {
 	return UpstreamLoad{
 		Tokens: l.Tokens + other.Tokens, Later: l.Later + other.Later,
-		Ended: l.Ended + other.Ended, Failed: l.Failed + other.Failed,
+		Ended: l.Ended + other.Ended, Failed: l.Failed + other.Failed, Running: l.Running + other.Running,
 	}
 }
 
--- a/calls.go
+++ b/calls.go
@@ -51,8 +51,23 @@
 	Pause time.Duration
 	// InvalidPause is a malformed value of Pause, which is ignored.
 	InvalidPause string
+	// Load is the upstream's load when it answered; zero if not stated.
+	Load LoadReport
 }
 
+// LoadReport is what an upstream states about its load in a response.
+type LoadReport struct {
+	Running int // requests in slots
+	Waiting int // requests in the queue
+	Slots   int // 0 if the upstream stated no load
+	// Slowdown is the time that work takes at the moment relative to the
+	// upstream's usual time: 1 as usual, 2 twice as long; 0 if not stated.
+	Slowdown float64
+}
+
+// IsKnown reports whether the upstream stated its load.
+func (l LoadReport) IsKnown() bool { return l.Slots > 0 }
+
 // CallProtocol translates the headers of requests and answers. Status codes and
 // bodies are passed on unchanged.
 type CallProtocol interface {
