pace, relay, loads: work in proportion to the speed of upstreams

Cause: upstreams of one service differ in speed by more than two to one and state a slowdown in each response, which nothing read. Prompts and plain requests were shared as if all were equal, and a VM knew only its own plain requests. Change: package pace keeps the reports and learns base speeds; the picker divides work by the speed, and draws plain requests by speed and expected time. Backlogs carry requests in flight and samples of speeds, for services whose upstreams state a slowdown only.

--- a/backlog.go
+++ b/backlog.go
@@ -19,6 +19,11 @@
 	Failed uint32
 	// Running is the number of requests in flight at the upstream.
 	Running uint32
+	// Timed counts the recent requests whose duration is known, and Speed is the
+	// sum of their speeds relative to other upstreams of the service, both decayed
+	// and in units of 1/OutcomeUnit.
+	Timed uint32
+	Speed uint32
 }
 
 // OutcomeUnit is the value of one request in the outcome counts of
@@ -30,6 +35,7 @@
 	return UpstreamLoad{
 		Tokens: l.Tokens + other.Tokens, Later: l.Later + other.Later,
 		Ended: l.Ended + other.Ended, Failed: l.Failed + other.Failed, Running: l.Running + other.Running,
+		Timed: l.Timed + other.Timed, Speed: l.Speed + other.Speed,
 	}
 }
 
--- a/loads/node.go
+++ b/loads/node.go
@@ -316,22 +316,43 @@
 		w.Ended = append(w.Ended, load.Ended)
 		w.Failed = append(w.Failed, load.Failed)
 	}
+	encodePace(w, b)
 	return w
 }
 
-// encodeTokens encodes the non-zero work only. Outcomes are needed by
-// aggregators alone, and would make the message to each VM a third longer.
+// encodePace adds requests in flight and speeds. The lists stay empty unless a
+// service states its load.
+func encodePace(w *wire.Backlog, b jdaw.Backlog) {
+	hasPace := false
+	for _, load := range b {
+		hasPace = hasPace || load.Running > 0 || load.Timed > 0
+	}
+	if !hasPace {
+		return
+	}
+	for _, key := range w.Upstreams {
+		load := b[jdaw.UpstreamKey(key)]
+		w.Running = append(w.Running, load.Running)
+		w.Timed = append(w.Timed, load.Timed)
+		w.Speed = append(w.Speed, load.Speed)
+	}
+}
+
+// encodeTokens encodes upstreams with work or known speed only. Outcomes are
+// needed by aggregators alone, and would make the message to each VM a third
+// longer.
 func encodeTokens(b jdaw.Backlog) *wire.Backlog {
 	w := &wire.Backlog{
 		Upstreams: make([]uint32, 0, len(b)), Tokens: make([]uint32, 0, len(b)), Later: make([]uint32, 0, len(b)),
 	}
 	for key, load := range b {
-		if load.Tokens > 0 {
+		if load.Tokens > 0 || load.Running > 0 || load.Timed > 0 {
 			w.Upstreams = append(w.Upstreams, uint32(key))
 			w.Tokens = append(w.Tokens, load.Tokens)
 			w.Later = append(w.Later, load.Later)
 		}
 	}
+	encodePace(w, b)
 	return w
 }
 
@@ -348,6 +369,7 @@
 		b[jdaw.UpstreamKey(key)] = jdaw.UpstreamLoad{
 			Tokens: at(w.GetTokens(), i), Later: at(w.GetLater(), i),
 			Ended: at(w.GetEnded(), i), Failed: at(w.GetFailed(), i),
+			Running: at(w.GetRunning(), i), Timed: at(w.GetTimed(), i), Speed: at(w.GetSpeed(), i),
 		}
 	}
 	return b
--- a/loads/table_test.go
+++ b/loads/table_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jackdawbarrow"
+	"jackdawbarrow/wire"
 )
 
 var start = time.Unix(1000, 0)
@@ -56,6 +57,7 @@
 	for name, b := range map[string]jdaw.Backlog{
 		"none":    {},
 		"several": {1: {Tokens: 10}, 1 << 31: {Tokens: 20, Later: 15, Ended: 3}, 7: {Tokens: 1 << 30, Ended: 5, Failed: 4}},
+		"speeds":  {1: {Tokens: 10}, 2: {Running: 5}, 3: {Timed: 16, Speed: 27}, 4: {Ended: 3}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got := decode(encode(b)); !maps.Equal(got, b) {
@@ -64,3 +66,31 @@
 		})
 	}
 }
+
+// Guards against longer messages of deployments whose upstreams state no load, and
+// against speeds that VMs don't get from their aggregator.
+func TestSpeedsAreToldOnlyIfKnown(t *testing.T) {
+	cases := map[string]struct {
+		backlog jdaw.Backlog
+		want    int // entries of the lists of speeds
+	}{
+		"no reports":  {jdaw.Backlog{1: {Tokens: 10}, 2: {Tokens: 5, Ended: 3}}, 0},
+		"running":     {jdaw.Backlog{1: {Tokens: 10}, 2: {Running: 1}}, 2},
+		"speeds only": {jdaw.Backlog{1: {Timed: 16, Speed: 20}}, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			for _, w := range []*wire.Backlog{encode(c.backlog), encodeTokens(c.backlog)} {
+				if len(w.GetRunning()) != c.want || len(w.GetTimed()) != c.want || len(w.GetSpeed()) != c.want {
+					t.Errorf("%d, %d and %d entries, want %d", len(w.GetRunning()), len(w.GetTimed()), len(w.GetSpeed()), c.want)
+				}
+			}
+			for key, load := range decode(encodeTokens(c.backlog)) {
+				want := c.backlog[key]
+				if load.Running != want.Running || load.Timed != want.Timed || load.Speed != want.Speed {
+					t.Errorf("upstream %d: got %+v, want %+v", key, load, want)
+				}
+			}
+		})
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -59,6 +59,7 @@
 	if a.events == 0 {
 		a.first = at
 		a.reservation.started()
+		a.reservation.sawFirst(at)
 	}
 	a.last = at
 	a.events++
@@ -90,6 +91,7 @@
 		a.response.Close()
 	}
 	a.cancel()
+	a.reservation.sawEvents(time.Now(), a.interEventTime())
 	a.reservation.release(time.Now(), o)
 }
 
@@ -182,7 +184,7 @@
 		model = c.info.Model
 	}
 	return pickRequest{
-		service: c.service, sample: c.sample, prefix: prefixHash(c.info.Prompt, model), salt: rand.Uint64(),
+		service: c.service, name: c.route.Name, sample: c.sample, prefix: prefixHash(c.info.Prompt, model), salt: rand.Uint64(),
 		work: c.work(st, model), isEscalated: isEscalated,
 	}
 }
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -18,6 +18,8 @@
 	duration metric.Float64Histogram
 	notices  metric.Int64Counter
 	crashes  metric.Int64Counter
+	speed    metric.Float64Gauge
+	slowdown metric.Float64Gauge
 }
 
 // NewMetrics creates the instruments.
@@ -37,7 +39,30 @@
 	}
 	crashes, err := m.Int64Counter("relay_crashed_requests",
 		metric.WithDescription("requests at an upstream whose process crashed before the end of their answer"))
-	return &Metrics{requests: requests, duration: duration, notices: notices, crashes: crashes}, errors.Wrap(err, "create relay_crashed_requests")
+	if err != nil {
+		return nil, errors.Wrap(err, "create relay_crashed_requests")
+	}
+	speed, err := m.Float64Gauge("relay_upstream_speed",
+		metric.WithDescription("learned speed of the slowest and the fastest upstream of a service, 1 for the usual one"))
+	if err != nil {
+		return nil, errors.Wrap(err, "create relay_upstream_speed")
+	}
+	slowdown, err := m.Float64Gauge("relay_upstream_slowdown",
+		metric.WithDescription("largest slowdown that an upstream of a service stated lately, 1 for none"))
+	return &Metrics{
+		requests: requests, duration: duration, notices: notices, crashes: crashes, speed: speed, slowdown: slowdown,
+	}, errors.Wrap(err, "create relay_upstream_slowdown")
+}
+
+// speeds records the speeds of the upstreams of a service.
+func (m *Metrics) speeds(service string, v serviceSpeeds) {
+	if m == nil {
+		return
+	}
+	ctx, name := context.Background(), attribute.String("service", service)
+	m.speed.Record(ctx, v.min, metric.WithAttributes(name, attribute.String("bound", "min")))
+	m.speed.Record(ctx, v.max, metric.WithAttributes(name, attribute.String("bound", "max")))
+	m.slowdown.Record(ctx, v.maxSlowdown, metric.WithAttributes(name))
 }
 
 // crashed counts a request at an upstream that crashed.
--- a/relay/notices.go
+++ b/relay/notices.go
@@ -73,6 +73,7 @@
 	}
 	var changes []noticeKind
 	s.notices, changes = s.notices.with(at, info)
+	s.report(at, res, info)
 	return changes
 }
 
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -9,6 +9,7 @@
 	"jackdawbarrow"
 	"jackdawbarrow/config"
 	"jackdawbarrow/fleet"
+	"jackdawbarrow/pace"
 	"jackdawbarrow/route"
 )
 
@@ -68,6 +69,9 @@
 // upstreamState is this VM's state of one upstream.
 type upstreamState struct {
 	key             jdaw.UpstreamKey
+	hash            uint64 // of the id
+	service         string
+	pace            *pace.Upstream
 	inUse           int
 	pendingTokens   float64     // of this VM's requests without a first event
 	escalatedTokens float64     // the part of pendingTokens that belongs to escalations
@@ -121,19 +125,28 @@
 
 	mu        sync.Mutex
 	upstreams map[jdaw.UpstreamID]*upstreamState
-	// candidates, matches and affinity are set by collect; the slices are reused.
+	services  map[string]*pace.Service
+	// speedsAt and speedsLoggedAt are the times of the last records of speeds.
+	speedsAt, speedsLoggedAt time.Time
+	// The following are set by collect; the slices are reused.
 	candidates []route.Candidate
 	matches    []*fleet.Upstream
-	affinity   int // index of the affinity upstream in candidates, or -1
+	options    []pace.Option // of candidates
+	hasReports bool          // upstreams of the service state their slowdown
+	affinity   int           // index of the affinity upstream in candidates, or -1
 }
 
 func newPicker(self jdaw.VMID, backlogs Backlogs) *picker {
-	return &picker{self: self, chooser: route.NewLeastWork(), backlogs: backlogs, upstreams: map[jdaw.UpstreamID]*upstreamState{}}
+	return &picker{
+		self: self, chooser: route.NewLeastWork(), backlogs: backlogs,
+		upstreams: map[jdaw.UpstreamID]*upstreamState{}, services: map[string]*pace.Service{},
+	}
 }
 
 // pickRequest describes the request to pick an upstream for.
 type pickRequest struct {
 	service     string
+	name        string       // of the route
 	sample      fleet.Sample // selects the version during a roll-out
 	prefix      uint64       // hash of the prompt prefix and model; 0 for none
 	salt        uint64       // tie-breaker if there is no prefix
@@ -168,11 +181,16 @@
 	queue         queue
 	isEscalated   bool
 	pendingTokens float64 // its part of the upstream's pendingTokens
+	name          string
+	isPlain       bool
+	sentAt        time.Time
+	tokens        float64         // of the queue, without regard to the upstream's speed
+	load          jdaw.LoadReport // stated in the response
 }
 
 // queue is the work before the first event of a request, in tokens.
 type queue struct {
-	ahead       float64 // pending at the upstream
+	ahead       float64 // pending at the upstream, in tokens of one with speed 1
 	own         float64 // of the request, with the shared prefix if it isn't cached
 	hasAffinity bool    // the affinity upstream was picked
 }
@@ -184,7 +202,7 @@
 	spec := st.Table.Services[q.service]
 	for _, strict := range []bool{true, false} {
 		p.collect(at, st, spec, q, strict)
-		i := p.chooser.Choose(q.prefix, p.candidates)
+		i := p.choose(q)
 		if i < 0 {
 			continue
 		}
@@ -192,9 +210,12 @@
 		s := p.stateOf(u)
 		res := reservation{
 			Upstream: *u, p: p, inUse: s.inUse, candidates: len(p.candidates), queue: p.queueAt(i, q), isEscalated: q.isEscalated,
+			name: q.name, isPlain: q.isPlain(), sentAt: at,
 		}
+		res.tokens = res.queue.ahead*p.options[i].Speed + res.queue.own
 		res.pendingTokens = res.queue.own
 		s.inUse++
+		s.pace.Sent()
 		s.addPending(&res, 1)
 		if p.isCold(at, u, s) {
 			s.coldSent = append(s.coldSent, at)
@@ -210,7 +231,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.collect(at, st, st.Table.Services[q.service], q, true)
-	i := p.chooser.Choose(q.prefix, p.candidates)
+	i := p.choose(q)
 	if i < 0 {
 		return queue{}, false
 	}
@@ -222,14 +243,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.collect(at, st, st.Table.Services[q.service], q, false)
-	return p.chooser.Choose(q.prefix, p.candidates) >= 0
+	return p.choose(q) >= 0
 }
 
 // queueAt returns the queue at a candidate.
 func (p *picker) queueAt(i int, q pickRequest) queue {
-	at := queue{ahead: p.candidates[i].Work - q.work.own, own: q.work.own, hasAffinity: i == p.affinity}
+	speed := p.options[i].Speed
+	at := queue{ahead: p.candidates[i].Work - q.work.own/speed, own: q.work.own, hasAffinity: i == p.affinity}
 	if !at.hasAffinity {
-		at.ahead -= q.reprefillTokens()
+		at.ahead -= q.reprefillTokens() / speed
 		at.own += q.work.shared
 	}
 	return at
@@ -240,12 +262,9 @@
 func (p *picker) collect(at time.Time, st *fleet.State, spec config.ServiceSpec, q pickRequest, strict bool) {
 	p.candidates = p.candidates[:0]
 	p.matches = p.matches[:0]
-	// Requests without a prompt end before other VMs get the report, which
-	// would send all of them to the same upstream.
-	var others jdaw.Backlog
-	if p.backlogs != nil && q.prefix != 0 {
-		others = p.backlogs.Others()
-	}
+	p.options = p.options[:0]
+	p.hasReports = p.services[q.service].Reports(at)
+	others := p.othersAt(q, p.hasReports)
 	list := st.Upstreams[q.service]
 	for i := range list {
 		u := &list[i]
@@ -259,7 +278,14 @@
 		if p.isCold(at, u, s) && !p.mayUseCold(at, st, spec, u, s) {
 			continue
 		}
-		hash := xxhash.Sum64String(string(u.ID))
+		if p.hasReports && strict && q.isPlain() && s.pace.IsFull(at) {
+			continue
+		}
+		load, speed := others[s.key], 1.0
+		if p.hasReports {
+			speed = s.pace.Speed(at, load)
+		}
+		hash := s.hash
 		if q.prefix == 0 {
 			// Without the salt, all VMs would prefer the same idle upstream.
 			hash ^= q.salt
@@ -267,12 +293,13 @@
 		p.matches = append(p.matches, u)
 		p.candidates = append(p.candidates, route.Candidate{
 			Hash: hash, InUse: s.inUse, Limit: max(u.Slots, 1) * queueFactor, Usable: true,
-			Work: s.ahead(others[s.key], q.isEscalated) + q.work.own + q.reprefillTokens(),
+			Work: (s.ahead(load, q.isEscalated) + q.work.own + q.reprefillTokens()) / speed,
 		})
+		p.addOption(at, u, s, load, speed)
 	}
 	p.affinity = route.TopRanked(q.prefix, p.candidates)
 	if p.affinity >= 0 {
-		p.candidates[p.affinity].Work -= q.reprefillTokens()
+		p.candidates[p.affinity].Work -= q.reprefillTokens() / p.options[p.affinity].Speed
 	}
 }
 
@@ -302,7 +329,10 @@
 		if s != nil {
 			old = *s
 		}
-		s = &upstreamState{key: u.ID.Key(), startedAt: u.Born, inUse: old.inUse, pendingTokens: old.pendingTokens, escalatedTokens: old.escalatedTokens}
+		s = &upstreamState{
+			key: u.ID.Key(), hash: xxhash.Sum64String(string(u.ID)), service: u.Service, pace: p.paceOf(u),
+			startedAt: u.Born, inUse: old.inUse, pendingTokens: old.pendingTokens, escalatedTokens: old.escalatedTokens,
+		}
 		p.upstreams[u.ID] = s
 	}
 	return s
@@ -367,6 +397,7 @@
 	for _, s := range p.upstreams {
 		load := jdaw.UpstreamLoad{Tokens: uint32(s.work()), Later: uint32(s.escalatedTokens)}
 		load.Ended, load.Failed = s.recent.counts(at)
+		s.addPace(at, &load)
 		if load != (jdaw.UpstreamLoad{}) {
 			b[s.key] = load
 		}
@@ -388,6 +419,7 @@
 	s.recent.add(at, o)
 	switch o {
 	case outcomeOK:
+		res.sawWhole(at)
 		s.failures = 0
 		s.ejectTime = 0
 	case outcomeShed:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -84,7 +84,11 @@
 func (x *Relay) Forget(st *fleet.State) { x.picker.forget(time.Now(), st) }
 
 // Backlog returns this VM's work and recent outcomes at upstreams.
-func (x *Relay) Backlog() jdaw.Backlog { return x.picker.backlog(time.Now()) }
+func (x *Relay) Backlog() jdaw.Backlog {
+	at := time.Now()
+	x.recordSpeeds(at)
+	return x.picker.backlog(at)
+}
 
 // call is the state of one request of a caller.
 type call struct {
