relay: decide among 600 upstreams at less cost

Cause: a decision looked up the state of each upstream by its id, its version and its outlier mark in maps, and compared five times per upstream. Change: states are kept in the order of the published list; one time covers all restrictions of an upstream; the outliers are fetched once per decision (Backlogs.Outliers in place of IsOutlier; the fake of the picker's tests follows); base speeds are cached.

--- a/loads/node.go
+++ b/loads/node.go
@@ -109,12 +109,17 @@
 	return nil
 }
 
-// IsOutlier reports whether an upstream is an outlier by the counts of all VMs.
-func (n *Node) IsOutlier(key jdaw.UpstreamKey) bool {
-	r := n.recent()
-	return r != nil && r.outliers[key]
+// Outliers returns the upstreams that are outliers by the counts of all VMs.
+func (n *Node) Outliers() map[jdaw.UpstreamKey]bool {
+	if r := n.recent(); r != nil {
+		return r.outliers
+	}
+	return nil
 }
 
+// IsOutlier reports whether an upstream is an outlier by the counts of all VMs.
+func (n *Node) IsOutlier(key jdaw.UpstreamKey) bool { return n.Outliers()[key] }
+
 func (n *Node) recent() *fleetReport {
 	r := n.lastReport.Load()
 	if r == nil || time.Since(r.at) > maxAge {
--- a/pace/doc.go
+++ b/pace/doc.go
@@ -29,7 +29,7 @@
 //	u.Report(now, answer.Load, false)
 //	u.Observe(now, pace.Sample{Kind: pace.KindWhole, Name: "orders", Amount: 1, Took: took, Slowdown: answer.Load.Slowdown})
 //	if s.Reports(now) {
-//		speed := u.Speed(now, others)
+//		relative := u.RelativeTime(now, others)
 //		estimate, ok := u.Estimate(now, others, pace.Work{Name: "orders", InFlight: 3, Slots: 6})
 //	}
 package pace
--- a/pace/estimate.go
+++ b/pace/estimate.go
@@ -42,17 +42,17 @@
 // Estimate returns when the events of a request given to the upstream now would
 // be there, or false if too few durations are known.
 func (u *Upstream) Estimate(at time.Time, others jdaw.UpstreamLoad, w Work) (Estimate, bool) {
-	speed := u.Speed(at, others)
+	relative := u.RelativeTime(at, others)
 	if w.Tokens <= 0 {
 		x, ok := u.service.find(KindWhole, w.Name, 0)
-		d := seconds(math.Exp(x.mean) * (1 + queueTime(w.InFlight, w.Slots)) / speed)
+		d := seconds(math.Exp(x.mean) * (1 + queueTime(w.InFlight, w.Slots)) * relative)
 		return Estimate{First: d, Last: d, Spread: math.Sqrt(x.variance)}, ok
 	}
 	first, ok := u.service.find(KindFirst, w.Name, level(KindFirst, w.Tokens, 0))
 	if !ok {
 		return Estimate{}, false
 	}
-	e := Estimate{First: seconds(math.Exp(first.mean) * w.Tokens / speed), Spread: math.Sqrt(first.variance)}
+	e := Estimate{First: seconds(math.Exp(first.mean) * w.Tokens * relative), Spread: math.Sqrt(first.variance)}
 	// The slowdown lasts a fraction of a stream.
 	events, ok := u.service.find(KindEvents, "", level(KindEvents, 0, int(w.InFlight)))
 	e.Last = e.First + seconds(math.Exp(events.mean)*float64(max(w.Events-1, 0))/u.Base(others))
@@ -70,9 +70,10 @@
 
 // Option is an upstream that a plain request may go to.
 type Option struct {
-	Speed    float64
-	InFlight float64
-	Slots    int
+	// RelativeTime is that of [Upstream.RelativeTime].
+	RelativeTime float64
+	InFlight     float64
+	Slots        int
 	// IsFree is false if the upstream must not be chosen.
 	IsFree bool
 }
@@ -84,7 +85,7 @@
 
 // time returns the relative time that a request would take.
 func (o Option) time() float64 {
-	return (1 + queueTime(o.InFlight, o.Slots) + crowding*o.InFlight/float64(max(o.Slots, 1))) / o.Speed
+	return (1 + queueTime(o.InFlight, o.Slots) + crowding*o.InFlight/float64(max(o.Slots, 1))) * o.RelativeTime
 }
 
 // weight is the probability of a draw, up to a factor.
@@ -92,7 +93,7 @@
 	if !o.IsFree {
 		return 0
 	}
-	return o.Speed * float64(max(o.Slots, 1))
+	return float64(max(o.Slots, 1)) / o.RelativeTime
 }
 
 // Choose returns the index of an upstream for a plain request, or -1 if none is
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -13,7 +13,7 @@
 // known returns a service whose plain requests take 30 ms, and an upstream of it.
 func known() (*Service, *Upstream) {
 	s := NewService(Config{})
-	u := s.NewUpstream()
+	u := &Upstream{service: s}
 	for range minUsual {
 		s.observe(whole(30))
 	}
@@ -42,7 +42,8 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			s := NewService(Config{})
-			s.NewUpstream().Report(start, c.report, false)
+			u := s.NewUpstream()
+			u.Report(start, c.report, false)
 			if got := s.Reports(start.Add(c.after)); got != c.want {
 				t.Errorf("reports: %t, want %t", got, c.want)
 			}
@@ -75,7 +76,7 @@
 		t.Run(name, func(t *testing.T) {
 			_, u := known()
 			u.Report(start, jdaw.LoadReport{Slots: 6, Slowdown: c.slowdown}, false)
-			if got := u.Speed(start.Add(c.after), jdaw.UpstreamLoad{}); got < c.min-1e-9 || got > c.max+1e-9 {
+			if got := 1 / u.RelativeTime(start.Add(c.after), jdaw.UpstreamLoad{}); got < c.min-1e-9 || got > c.max+1e-9 {
 				t.Errorf("speed %.2f, want %.2f to %.2f", got, c.min, c.max)
 			}
 		})
@@ -255,8 +256,8 @@
 		min, max []float64 // shares
 	}{
 		"equal":          {[]Option{{1, 0, 6, true}, {1, 0, 6, true}}, []float64{0.4, 0.4}, []float64{0.6, 0.6}},
-		"one faster":     {[]Option{{0.7, 0, 6, true}, {0.7, 0, 6, true}, {1.7, 0, 6, true}}, []float64{0.02, 0.02, 0.55}, []float64{0.25, 0.25, 0.9}},
-		"the fast busy":  {[]Option{{0.7, 0, 6, true}, {0.7, 0, 6, true}, {1.7, 18, 6, true}}, []float64{0.2, 0.2, 0.2}, []float64{0.5, 0.5, 0.4}},
+		"one faster":     {[]Option{{1 / 0.7, 0, 6, true}, {1 / 0.7, 0, 6, true}, {1 / 1.7, 0, 6, true}}, []float64{0.02, 0.02, 0.55}, []float64{0.25, 0.25, 0.9}},
+		"the fast busy":  {[]Option{{1 / 0.7, 0, 6, true}, {1 / 0.7, 0, 6, true}, {1 / 1.7, 18, 6, true}}, []float64{0.2, 0.2, 0.2}, []float64{0.5, 0.5, 0.4}},
 		"one seems idle": {[]Option{{1, 6, 6, true}, {1, 6, 6, true}, {1, 0, 6, true}}, []float64{0.1, 0.1, 0.4}, []float64{0.4, 0.4, 0.7}},
 		"one not free":   {[]Option{{1, 0, 6, false}, {1, 9, 6, true}}, []float64{0, 1}, []float64{0, 1}},
 		"no slots known": {[]Option{{1, 0, 0, true}}, []float64{1}, []float64{1}},
@@ -274,7 +275,7 @@
 			}
 		})
 	}
-	if got := Choose(1, []Option{{Speed: 1, Slots: 6}}); got != -1 {
+	if got := Choose(1, []Option{{RelativeTime: 1, Slots: 6}}); got != -1 {
 		t.Errorf("chose %d of none that is free", got)
 	}
 }
--- a/pace/upstream.go
+++ b/pace/upstream.go
@@ -27,20 +27,26 @@
 // upstream. Its service has to state slowdowns; see [Service.Reports].
 type Upstream struct {
 	service *Service
+	// base is the base speed with the samples of baseOthers, 0 if the samples of
+	// this VM have changed since. baseTime is its reciprocal.
+	base, baseTime float64
+	baseOthers     [2]uint32
+	slowUntil      time.Time // when the stated slowdown is over
+	excess         float64   // stated slowdown above 1
 	// timed and speed are the decayed number of samples and the sum of their
 	// speeds.
 	timed, speed float64
-	decayedAt    time.Time
-	report       jdaw.LoadReport
 	reportAt     time.Time
+	report       jdaw.LoadReport
 	sent         int // requests of this VM since reportAt
 	// fullAt is the number of requests at which the upstream refused one; 0 if it
 	// never did.
-	fullAt int
+	fullAt    int
+	decayedAt time.Time
 }
 
 // NewUpstream returns an upstream of base speed 1.
-func (s *Service) NewUpstream() *Upstream { return &Upstream{service: s} }
+func (s *Service) NewUpstream() Upstream { return Upstream{service: s} }
 
 // Service returns the service of the upstream.
 func (u *Upstream) Service() *Service { return u.service }
@@ -52,7 +58,9 @@
 		return
 	}
 	u.report, u.reportAt, u.sent = r, at, 0
+	u.slowUntil, u.excess = at, 0
 	if r.Slowdown > 0 {
+		u.slowUntil, u.excess = at.Add(u.service.cfg.SlowdownTime), clampSlowdown(r.Slowdown)-1
 		u.service.slowdownAt, u.service.hasSlowdowns = at, true
 	}
 	if isRefused && r.Running >= r.Slots {
@@ -72,6 +80,7 @@
 	u.decay(at)
 	u.timed += x.Kind.weight()
 	u.speed += x.Kind.weight() * speed
+	u.base = 0
 }
 
 func (u *Upstream) decay(at time.Time) {
@@ -79,7 +88,7 @@
 		weight := math.Exp2(-since.Seconds() / u.service.cfg.HalfLife.Seconds())
 		u.timed *= weight
 		u.speed *= weight
-		u.decayedAt = at
+		u.base, u.decayedAt = 0, at
 	}
 }
 
@@ -93,25 +102,29 @@
 // Base returns the base speed relative to the other upstreams of the service.
 // others are the samples of other VMs.
 func (u *Upstream) Base(others jdaw.UpstreamLoad) float64 {
-	cfg := &u.service.cfg
-	timed := u.timed + float64(others.Timed)/jdaw.OutcomeUnit
-	speed := u.speed + float64(others.Speed)/jdaw.OutcomeUnit
-	return min(max((cfg.PriorSamples+speed)/(cfg.PriorSamples+timed), cfg.MinSpeed), cfg.MaxSpeed)
+	if known := [2]uint32{others.Timed, others.Speed}; u.base == 0 || u.baseOthers != known {
+		cfg := &u.service.cfg
+		timed := u.timed + float64(others.Timed)/jdaw.OutcomeUnit
+		speed := u.speed + float64(others.Speed)/jdaw.OutcomeUnit
+		u.base, u.baseOthers = min(max((cfg.PriorSamples+speed)/(cfg.PriorSamples+timed), cfg.MinSpeed), cfg.MaxSpeed), known
+		u.baseTime = 1 / u.base
+	}
+	return u.base
 }
 
 // Slowdown returns the stated slowdown, which falls to 1 as it ages.
 func (u *Upstream) Slowdown(at time.Time) float64 {
-	age := at.Sub(u.reportAt)
-	if u.report.Slowdown <= 0 || age >= u.service.cfg.SlowdownTime {
+	if u.excess == 0 || !at.Before(u.slowUntil) {
 		return 1
 	}
-	weight := 1 - float64(max(age, 0))/float64(u.service.cfg.SlowdownTime)
-	return 1 + weight*(clampSlowdown(u.report.Slowdown)-1)
+	return 1 + u.excess*min(float64(u.slowUntil.Sub(at))/float64(u.service.cfg.SlowdownTime), 1)
 }
 
-// Speed returns the speed now.
-func (u *Upstream) Speed(at time.Time, others jdaw.UpstreamLoad) float64 {
-	return u.Base(others) / u.Slowdown(at)
+// RelativeTime returns the time that work takes now, relative to an upstream of
+// speed 1.
+func (u *Upstream) RelativeTime(at time.Time, others jdaw.UpstreamLoad) float64 {
+	u.Base(others)
+	return u.baseTime * u.Slowdown(at)
 }
 
 // InFlight returns the number of requests at the upstream, given the number that
--- a/relay/notices.go
+++ b/relay/notices.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"time"
 
 	"jackdawbarrow"
@@ -49,6 +50,14 @@
 	return n, changes
 }
 
+// end returns the time from which the notices forbid nothing.
+func (n notices) end() time.Time {
+	if n.isLeaving {
+		return n.at.Add(math.MaxInt64)
+	}
+	return n.pausedUntil
+}
+
 func (n notices) isPaused(at time.Time) bool { return at.Before(n.pausedUntil) }
 
 // forbidsRequests reports whether the upstream must get no new requests, even if
@@ -73,6 +82,7 @@
 	}
 	var changes []noticeKind
 	s.notices, changes = s.notices.with(at, info)
+	s.restrict(s.notices.end())
 	s.report(at, res, info)
 	return changes
 }
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -34,7 +34,7 @@
 }
 
 // paceOf returns a new state of the speed of an upstream.
-func (p *picker) paceOf(u *fleet.Upstream) *pace.Upstream {
+func (p *picker) paceOf(u *fleet.Upstream) pace.Upstream {
 	s := p.services[u.Service]
 	if s == nil {
 		s = pace.NewService(pace.Config{})
@@ -54,13 +54,45 @@
 	return p.backlogs.Others()
 }
 
-// addOption adds the speed of the last candidate, and for a plain request its
-// load.
-func (p *picker) addOption(at time.Time, u *fleet.Upstream, s *upstreamState, others jdaw.UpstreamLoad, speed float64) {
-	p.options = append(p.options, pace.Option{
-		Speed: speed, InFlight: s.pace.InFlight(at, s.inUse+int(others.Running)), Slots: u.Slots,
-		IsFree: p.candidates[len(p.candidates)-1].IsFree(),
-	})
+// fillOption completes the option of the last candidate for a plain request.
+func (p *picker) fillOption(at time.Time, u *fleet.Upstream, s *upstreamState, others jdaw.UpstreamLoad) {
+	o := &p.options[len(p.options)-1]
+	o.InFlight, o.Slots = s.inFlight(at, others), u.Slots
+	o.IsFree = p.candidates[len(p.candidates)-1].IsFree()
+}
+
+// inFlight returns the requests of all VMs at the upstream.
+func (s *upstreamState) inFlight(at time.Time, others jdaw.UpstreamLoad) float64 {
+	return s.pace.InFlight(at, s.inUse+int(others.Running))
+}
+
+// restrict notes that a restriction of the upstream may last until a time.
+func (s *upstreamState) restrict(until time.Time) {
+	if until.After(s.restrictedUntil) {
+		s.restrictedUntil = until
+	}
+}
+
+// serviceView holds the states of the upstreams of a service in the order of
+// the list that it was made for.
+type serviceView struct {
+	list   []fleet.Upstream
+	states []*upstreamState
+}
+
+// statesOf returns the states of the upstreams of a service, in their order.
+func (p *picker) statesOf(st *fleet.State, service string) []*upstreamState {
+	list := st.Upstreams[service]
+	v := p.views[service]
+	if len(list) == 0 || len(v.list) == len(list) && &v.list[0] == &list[0] {
+		return v.states
+	}
+	v = serviceView{list: list}
+	for i := range list {
+		v.states = append(v.states, p.stateOf(&list[i]))
+	}
+	p.views[service] = v
+	return v.states
 }
 
 // choose returns the index of the candidate to pick, or -1 if none is free.
@@ -128,11 +160,11 @@
 	}
 	s := p.stateOf(p.matches[i])
 	others := p.othersAt(q, true)[s.key]
-	w := pace.Work{Name: q.name, InFlight: p.options[i].InFlight, Slots: p.matches[i].Slots}
+	w := pace.Work{Name: q.name, InFlight: s.inFlight(at, others), Slots: p.matches[i].Slots}
 	if !q.isPlain() {
 		at := p.queueAt(i, q)
 		w.Name, w.Events = firstName(q.isEscalated), events
-		w.Tokens = at.ahead*p.options[i].Speed + at.own
+		w.Tokens = at.ahead/p.options[i].RelativeTime + at.own
 	}
 	return s.pace.Estimate(at, others, w)
 }
--- a/relay/pace_test.go
+++ b/relay/pace_test.go
@@ -503,7 +503,7 @@
 	}
 	for name, q := range cases {
 		b.Run(name, func(b *testing.B) {
-			st := testState(600, 90)
+			now, st := time.Now(), testState(600, 90)
 			st.Table.Services["drafts"] = config.ServiceSpec{Name: "drafts"}
 			others := jdaw.Backlog{}
 			for _, u := range st.Upstreams["drafts"] {
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -68,22 +68,27 @@
 
 // upstreamState is this VM's state of one upstream.
 type upstreamState struct {
+	// The fields that collect reads of all upstreams are next to each other.
 	key             jdaw.UpstreamKey
 	hash            uint64 // of the id
-	service         string
-	pace            *pace.Upstream
-	inUse           int
-	pendingTokens   float64     // of this VM's requests without a first event
-	escalatedTokens float64     // the part of pendingTokens that belongs to escalations
-	coldSent        []time.Time // within coldWindow
-	coldUntil       time.Time   // may have been restarted
-	ejectedUntil    time.Time   // gets requests only as a last resort
-	replacedUntil   time.Time   // gets no requests
-	ejectTime       time.Duration
-	failures        int // consecutive
-	recent          recentOutcomes
-	notices         notices
 	startedAt       int64
+	inUse           int
+	pendingTokens   float64 // of this VM's requests without a first event
+	escalatedTokens float64 // the part of pendingTokens that belongs to escalations
+	// restrictedUntil is not before the end of any notice, ejection or cold time
+	// that this VM learned of: it is the only one to check of most upstreams.
+	restrictedUntil time.Time
+	pace            pace.Upstream
+
+	service       string
+	coldSent      []time.Time // within coldWindow
+	coldUntil     time.Time   // may have been restarted
+	ejectedUntil  time.Time   // gets requests only as a last resort
+	replacedUntil time.Time   // gets no requests
+	ejectTime     time.Duration
+	failures      int // consecutive
+	recent        recentOutcomes
+	notices       notices
 	// quota is this VM's share of the cold rate for the members in quotaOf.
 	quota   int
 	quotaOf *fleet.State
@@ -113,8 +118,8 @@
 type Backlogs interface {
 	// Others returns the known work of all other VMs.
 	Others() jdaw.Backlog
-	// IsOutlier reports whether an upstream is an outlier by the counts of all VMs.
-	IsOutlier(key jdaw.UpstreamKey) bool
+	// Outliers returns the upstreams that are outliers by the counts of all VMs.
+	Outliers() map[jdaw.UpstreamKey]bool
 }
 
 // picker picks upstreams. It is safe for concurrent use.
@@ -126,6 +131,7 @@
 	mu        sync.Mutex
 	upstreams map[jdaw.UpstreamID]*upstreamState
 	services  map[string]*pace.Service
+	views     map[string]serviceView
 	// speedsAt and speedsLoggedAt are the times of the last records of speeds.
 	speedsAt, speedsLoggedAt time.Time
 	// The following are set by collect; the slices are reused.
@@ -139,7 +145,7 @@
 func newPicker(self jdaw.VMID, backlogs Backlogs) *picker {
 	return &picker{
 		self: self, chooser: route.NewLeastWork(), backlogs: backlogs,
-		upstreams: map[jdaw.UpstreamID]*upstreamState{}, services: map[string]*pace.Service{},
+		upstreams: map[jdaw.UpstreamID]*upstreamState{}, services: map[string]*pace.Service{}, views: map[string]serviceView{},
 	}
 }
 
@@ -212,7 +218,7 @@
 			Upstream: *u, p: p, inUse: s.inUse, candidates: len(p.candidates), queue: p.queueAt(i, q), isEscalated: q.isEscalated,
 			name: q.name, isPlain: q.isPlain(), sentAt: at,
 		}
-		res.tokens = res.queue.ahead*p.options[i].Speed + res.queue.own
+		res.tokens = res.queue.ahead/p.options[i].RelativeTime + res.queue.own
 		res.pendingTokens = res.queue.own
 		s.inUse++
 		s.pace.Sent()
@@ -248,10 +254,10 @@
 
 // queueAt returns the queue at a candidate.
 func (p *picker) queueAt(i int, q pickRequest) queue {
-	speed := p.options[i].Speed
-	at := queue{ahead: p.candidates[i].Work - q.work.own/speed, own: q.work.own, hasAffinity: i == p.affinity}
+	relative := p.options[i].RelativeTime
+	at := queue{ahead: p.candidates[i].Work - q.work.own*relative, own: q.work.own, hasAffinity: i == p.affinity}
 	if !at.hasAffinity {
-		at.ahead -= q.reprefillTokens() / speed
+		at.ahead -= q.reprefillTokens() * relative
 		at.own += q.work.shared
 	}
 	return at
@@ -265,25 +271,43 @@
 	p.options = p.options[:0]
 	p.hasReports = p.services[q.service].Reports(at)
 	others := p.othersAt(q, p.hasReports)
+	var outliers map[jdaw.UpstreamKey]bool
+	if p.backlogs != nil && strict {
+		outliers = p.backlogs.Outliers()
+	}
+	isPlain, reprefill := q.isPlain(), q.reprefillTokens()
+	states := p.statesOf(st, q.service)
 	list := st.Upstreams[q.service]
+	version, isWanted := "", st.WantsVersion(q.service, "", q.sample)
 	for i := range list {
-		u := &list[i]
-		if !isEligible(st, u, q) || contains(q.exclude, u.ID) {
+		u, s := &list[i], states[i]
+		if s.startedAt != u.Born {
+			s = p.stateOf(u)
+			states[i] = s
+		}
+		if u.Version != version {
+			version, isWanted = u.Version, st.WantsVersion(q.service, u.Version, q.sample)
+		}
+		if !isWanted || !isInService(st, u) || len(q.exclude) > 0 && contains(q.exclude, u.ID) || len(outliers) > 0 && outliers[s.key] {
 			continue
 		}
-		s := p.stateOf(u)
-		if s.notices.forbidsRequests(at) || at.Before(s.replacedUntil) || strict && (at.Before(s.ejectedUntil) || p.isOutlier(s.key)) {
+		isRestricted := at.Before(s.restrictedUntil)
+		if isRestricted && (s.notices.forbidsRequests(at) || at.Before(s.replacedUntil) || strict && at.Before(s.ejectedUntil)) {
 			continue
 		}
-		if p.isCold(at, u, s) && !p.mayUseCold(at, st, spec, u, s) {
+		if (isRestricted || u.IsCold(at)) && p.isCold(at, u, s) && !p.mayUseCold(at, st, spec, u, s) {
 			continue
 		}
-		if p.hasReports && strict && q.isPlain() && s.pace.IsFull(at) {
+		if p.hasReports && strict && isPlain && s.pace.IsFull(at) {
 			continue
 		}
-		load, speed := others[s.key], 1.0
+		var load jdaw.UpstreamLoad
+		if others != nil {
+			load = others[s.key]
+		}
+		relative := 1.0
 		if p.hasReports {
-			speed = s.pace.Speed(at, load)
+			relative = s.pace.RelativeTime(at, load)
 		}
 		hash := s.hash
 		if q.prefix == 0 {
@@ -293,24 +317,27 @@
 		p.matches = append(p.matches, u)
 		p.candidates = append(p.candidates, route.Candidate{
 			Hash: hash, InUse: s.inUse, Limit: max(u.Slots, 1) * queueFactor, Usable: true,
-			Work: (s.ahead(load, q.isEscalated) + q.work.own + q.reprefillTokens()) / speed,
+			Work: (s.ahead(load, q.isEscalated) + q.work.own + reprefill) * relative,
 		})
-		p.addOption(at, u, s, load, speed)
+		p.options = append(p.options, pace.Option{RelativeTime: relative})
+		if p.hasReports && isPlain {
+			p.fillOption(at, u, s, load)
+		}
 	}
 	p.affinity = route.TopRanked(q.prefix, p.candidates)
 	if p.affinity >= 0 {
-		p.candidates[p.affinity].Work -= q.reprefillTokens() / p.options[p.affinity].Speed
+		p.candidates[p.affinity].Work -= reprefill * p.options[p.affinity].RelativeTime
 	}
 }
 
 // isEligible reports whether the state of the deployment lets the upstream serve
 // the request.
 func isEligible(st *fleet.State, u *fleet.Upstream, q pickRequest) bool {
-	return !u.Leaving && !st.Out[u.DataCentre] && st.WantsVersion(q.service, u.Version, q.sample)
+	return isInService(st, u) && st.WantsVersion(q.service, u.Version, q.sample)
 }
 
-func (p *picker) isOutlier(key jdaw.UpstreamKey) bool {
-	return p.backlogs != nil && p.backlogs.IsOutlier(key)
+func isInService(st *fleet.State, u *fleet.Upstream) bool {
+	return !u.Leaving && (len(st.Out) == 0 || !st.Out[u.DataCentre])
 }
 
 func contains(list []jdaw.UpstreamID, id jdaw.UpstreamID) bool {
@@ -424,10 +451,13 @@
 		s.ejectTime = 0
 	case outcomeShed:
 		s.ejectedUntil = at.Add(shedTime)
+		s.restrict(s.ejectedUntil)
 	case outcomeReplaced:
 		s.replacedUntil = at.Add(replacedTime)
+		s.restrict(s.replacedUntil)
 	case outcomeUnreachable:
 		s.coldUntil = at.Add(assumedColdTime)
+		s.restrict(s.coldUntil)
 		s.eject(at)
 	case outcomeFailed:
 		s.failures++
@@ -441,6 +471,7 @@
 func (s *upstreamState) eject(at time.Time) {
 	s.ejectTime = min(max(2*s.ejectTime, firstEject), lastEject)
 	s.ejectedUntil = at.Add(s.ejectTime)
+	s.restrict(s.ejectedUntil)
 	s.failures = failuresToEject - 1
 }
 
@@ -448,6 +479,7 @@
 func (p *picker) forget(at time.Time, st *fleet.State) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	clear(p.views)
 	known := map[jdaw.UpstreamID]bool{}
 	for _, list := range st.Upstreams {
 		for i := range list {
--- a/relay/picker_test.go
+++ b/relay/picker_test.go
@@ -176,7 +176,7 @@
 }
 
 func (b backlogs) Others() jdaw.Backlog                { return b.others }
-func (b backlogs) IsOutlier(key jdaw.UpstreamKey) bool { return b.outliers[key] }
+func (b backlogs) Outliers() map[jdaw.UpstreamKey]bool { return b.outliers }
 
 // Guards against prompts that queue at their affinity upstream while it is busy
 // with other VMs' work, against prompts that leave it for a gain smaller than
