--- a/relay/pace.go
+++ b/relay/pace.go
@@ -54,13 +54,6 @@
 	return p.backlogs.Others()
 }
 
-// fillOption completes the option of the last candidate for a plain request.
-func (p *picker) fillOption(at time.Time, u *fleet.Upstream, s *upstreamState, others jdaw.UpstreamLoad) {
-	o := &p.options[len(p.options)-1]
-	o.InFlight, o.Slots = s.inFlight(at, others), u.Slots
-	o.IsFree = p.candidates[len(p.candidates)-1].IsFree()
-}
-
 // inFlight returns the requests of all VMs at the upstream.
 func (s *upstreamState) inFlight(at time.Time, others jdaw.UpstreamLoad) float64 {
 	return s.pace.InFlight(at, s.inUse+int(others.Running))
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -266,9 +266,7 @@
 // collect fills the candidates. Ejected upstreams and outliers are included
 // only if not strict.
 func (p *picker) collect(at time.Time, st *fleet.State, spec config.ServiceSpec, q pickRequest, strict bool) {
-	p.candidates = p.candidates[:0]
-	p.matches = p.matches[:0]
-	p.options = p.options[:0]
+	candidates, matches, options := p.candidates[:0], p.matches[:0], p.options[:0]
 	p.hasReports = p.services[q.service].Reports(at)
 	others := p.othersAt(q, p.hasReports)
 	var outliers map[jdaw.UpstreamKey]bool
@@ -314,16 +312,19 @@
 			// Without the salt, all VMs would prefer the same idle upstream.
 			hash ^= q.salt
 		}
-		p.matches = append(p.matches, u)
-		p.candidates = append(p.candidates, route.Candidate{
+		matches = append(matches, u)
+		candidates = append(candidates, route.Candidate{
 			Hash: hash, InUse: s.inUse, Limit: max(u.Slots, 1) * queueFactor, Usable: true,
 			Work: (s.ahead(load, q.isEscalated) + q.work.own + reprefill) * relative,
 		})
-		p.options = append(p.options, pace.Option{RelativeTime: relative})
+		option := pace.Option{RelativeTime: relative}
 		if p.hasReports && isPlain {
-			p.fillOption(at, u, s, load)
+			option.InFlight, option.Slots = s.inFlight(at, load), u.Slots
+			option.IsFree = candidates[len(candidates)-1].IsFree()
 		}
+		options = append(options, option)
 	}
+	p.candidates, p.matches, p.options = candidates, matches, options
 	p.affinity = route.TopRanked(q.prefix, p.candidates)
 	if p.affinity >= 0 {
 		p.candidates[p.affinity].Work -= reprefill * p.options[p.affinity].RelativeTime
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -39,6 +39,7 @@
 	}
 	if p := h.Get("Prompt"); p != "" {
 		c.Prompt = []jdaw.PromptPart{{ID: p, Tokens: 100}, {ID: c.ID, Tokens: 10}}
+		c.PromptTokens = 110
 	}
 	return c, nil
 }
@@ -64,6 +65,9 @@
 	if n, err := strconv.Atoi(h.Get("Confidence")); err == nil {
 		a.Confidence = n
 	}
+	if slowdown, err := strconv.ParseFloat(h.Get("Slowdown"), 64); err == nil {
+		a.Load = jdaw.LoadReport{Running: 1, Slots: 4, Slowdown: slowdown}
+	}
 	return a
 }
 
