relay, pace: place prompts by base speed

Cause: a slowdown lasts some hundred milliseconds, less than most prompts wait and are read, but was applied to all of their work: prompts left the engine that holds their shared parts. Change: prompts are placed by base speed; estimates apply a slowdown to the part of the time that it can last. The line 'request ended' tells the relative time of the upstream.

--- a/pace/estimate.go
+++ b/pace/estimate.go
@@ -42,20 +42,19 @@
 // Estimate returns when the events of a request given to the upstream now would
 // be there, or false if too few durations are known.
 func (u *Upstream) Estimate(at time.Time, others jdaw.UpstreamLoad, w Work) (Estimate, bool) {
-	relative := u.RelativeTime(at, others)
+	relative := u.BaseTime(others)
 	if w.Tokens <= 0 {
 		x, ok := u.service.find(KindWhole, w.Name, 0)
-		d := seconds(math.Exp(x.mean) * (1 + queueTime(w.InFlight, w.Slots)) * relative)
+		d := u.stretch(at, seconds(math.Exp(x.mean)*(1+queueTime(w.InFlight, w.Slots))*relative))
 		return Estimate{First: d, Last: d, Spread: math.Sqrt(x.variance)}, ok
 	}
 	first, ok := u.service.find(KindFirst, w.Name, level(KindFirst, w.Tokens, 0))
 	if !ok {
 		return Estimate{}, false
 	}
-	e := Estimate{First: seconds(math.Exp(first.mean) * w.Tokens * relative), Spread: math.Sqrt(first.variance)}
-	// The slowdown lasts a fraction of a stream.
+	e := Estimate{First: u.stretch(at, seconds(math.Exp(first.mean)*w.Tokens*relative)), Spread: math.Sqrt(first.variance)}
 	events, ok := u.service.find(KindEvents, "", level(KindEvents, 0, int(w.InFlight)))
-	e.Last = e.First + seconds(math.Exp(events.mean)*float64(max(w.Events-1, 0))/u.Base(others))
+	e.Last = e.First + seconds(math.Exp(events.mean)*float64(max(w.Events-1, 0))*relative)
 	return e, ok || w.Events <= 1
 }
 
@@ -70,7 +69,7 @@
 
 // Option is an upstream that a plain request may go to.
 type Option struct {
-	// RelativeTime is that of [Upstream.RelativeTime].
+	// RelativeTime is that of [Upstream.RelativeTime] or [Upstream.BaseTime].
 	RelativeTime float64
 	InFlight     float64
 	Slots        int
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -242,6 +242,18 @@
 			}
 		})
 	}
+	u.Report(start, jdaw.LoadReport{Slots: 6, Slowdown: 2}, false)
+	for name, c := range map[string]struct {
+		work  Work
+		first float64
+	}{
+		"slowed down all the time":   {Work{Name: "orders", Slots: 6}, 60},
+		"slowed down a part of time": {Work{Tokens: 4000, Events: 1}, 600},
+	} {
+		if got, _ := u.Estimate(start, jdaw.UpstreamLoad{}, c.work); math.Abs(got.First.Seconds()*1000-c.first) > 0.02*c.first {
+			t.Errorf("%s: %s, want %.0f ms", name, got.First, c.first)
+		}
+	}
 	e := Estimate{First: time.Second, Last: 2 * time.Second, Spread: math.Ln2}.WithMargin(1)
 	if e.First.Round(time.Millisecond) != 2*time.Second || e.Last.Round(time.Millisecond) != 4*time.Second {
 		t.Errorf("with a margin of one deviation: %+v", e)
--- a/pace/upstream.go
+++ b/pace/upstream.go
@@ -120,11 +120,23 @@
 	return 1 + u.excess*min(float64(u.slowUntil.Sub(at))/float64(u.service.cfg.SlowdownTime), 1)
 }
 
-// RelativeTime returns the time that work takes now, relative to an upstream of
-// speed 1.
-func (u *Upstream) RelativeTime(at time.Time, others jdaw.UpstreamLoad) float64 {
+// BaseTime returns the time that work usually takes, relative to an upstream of
+// base speed 1. It is meant for work that outlasts a slowdown.
+func (u *Upstream) BaseTime(others jdaw.UpstreamLoad) float64 {
 	u.Base(others)
-	return u.baseTime * u.Slowdown(at)
+	return u.baseTime
+}
+
+// RelativeTime returns the time that short work takes now, relative to an
+// upstream of speed 1.
+func (u *Upstream) RelativeTime(at time.Time, others jdaw.UpstreamLoad) float64 {
+	return u.BaseTime(others) * u.Slowdown(at)
+}
+
+// stretch returns the time for work that takes d without a slowdown. Longer work
+// is slowed down for a part of its time only.
+func (u *Upstream) stretch(at time.Time, d time.Duration) time.Duration {
+	return d + time.Duration((u.Slowdown(at)-1)*float64(min(d, max(u.slowUntil.Sub(at), 0)/2)))
 }
 
 // InFlight returns the number of requests at the upstream, given the number that
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -82,7 +83,8 @@
 	if a := c.last; a != nil {
 		entry = entry.WithFields(logrus.Fields{
 			"version": a.reservation.Version, "candidates": a.reservation.candidates, "inUse": a.reservation.inUse,
-			"ahead": int(a.reservation.queue.ahead), "isHome": a.reservation.queue.hasAffinity, "promptTokens": c.info.PromptTokens,
+			"relativeTime": math.Round(a.reservation.relativeTime*100) / 100,
+			"ahead":        int(a.reservation.queue.ahead), "isHome": a.reservation.queue.hasAffinity, "promptTokens": c.info.PromptTokens,
 			"events": a.events, "firstEventMs": a.first.Sub(a.sentAt).Milliseconds(), "paceUs": a.interEventTime().Microseconds(),
 		})
 	}
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -189,6 +189,7 @@
 	pendingTokens float64 // its part of the upstream's pendingTokens
 	name          string
 	isPlain       bool
+	relativeTime  float64 // of the upstream; see pace
 	sentAt        time.Time
 	tokens        float64         // of the queue, without regard to the upstream's speed
 	load          jdaw.LoadReport // stated in the response
@@ -216,9 +217,9 @@
 		s := p.stateOf(u)
 		res := reservation{
 			Upstream: *u, p: p, inUse: s.inUse, candidates: len(p.candidates), queue: p.queueAt(i, q), isEscalated: q.isEscalated,
-			name: q.name, isPlain: q.isPlain(), sentAt: at,
+			name: q.name, isPlain: q.isPlain(), relativeTime: p.options[i].RelativeTime, sentAt: at,
 		}
-		res.tokens = res.queue.ahead/p.options[i].RelativeTime + res.queue.own
+		res.tokens = res.queue.ahead/res.relativeTime + res.queue.own
 		res.pendingTokens = res.queue.own
 		s.inUse++
 		s.pace.Sent()
@@ -304,8 +305,11 @@
 			load = others[s.key]
 		}
 		relative := 1.0
-		if p.hasReports {
+		switch {
+		case p.hasReports && isPlain:
 			relative = s.pace.RelativeTime(at, load)
+		case p.hasReports:
+			relative = s.pace.BaseTime(load) // a prompt outlasts a slowdown
 		}
 		hash := s.hash
 		if q.prefix == 0 {
