--- a/pace/service.go
+++ b/pace/service.go
@@ -86,12 +86,13 @@
 		return bits.Len(uint(max(amount, 0)/levelTokens)) / 2
 	case KindEvents:
 		return bits.Len(uint(max(running, 0)))
-	case KindWhole:
+	default:
+		return 0
 	}
-	return 0
 }
 
-// levelTokens is the largest work of the lowest level in tokens.
+// levelTokens is half of the work, in tokens, at which the lowest level ends; each
+// further one ends at four times as many.
 const levelTokens = 1000
 
 const (
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -157,7 +157,7 @@
 	if !q.isPlain() {
 		at := p.queueAt(i, q)
 		w.Name, w.Events = firstName(q.isEscalated), events
-		w.Tokens = at.ahead/p.options[i].RelativeTime + at.own
+		w.Tokens = at.ahead/p.relativeTimes[i] + at.own
 	}
 	return s.pace.Estimate(at, others, w)
 }
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -135,11 +135,12 @@
 	// speedsAt and speedsLoggedAt are the times of the last records of speeds.
 	speedsAt, speedsLoggedAt time.Time
 	// The following are set by collect; the slices are reused.
-	candidates []route.Candidate
-	matches    []*fleet.Upstream
-	options    []pace.Option // of candidates
-	hasReports bool          // upstreams of the service state their slowdown
-	affinity   int           // index of the affinity upstream in candidates, or -1
+	candidates    []route.Candidate
+	matches       []*fleet.Upstream
+	relativeTimes []float64     // of candidates; see pace
+	options       []pace.Option // candidates for a plain request, if hasReports
+	hasReports    bool          // upstreams of the service state their slowdown
+	affinity      int           // index of the affinity upstream in candidates, or -1
 }
 
 func newPicker(self jdaw.VMID, backlogs Backlogs) *picker {
@@ -217,7 +218,7 @@
 		s := p.stateOf(u)
 		res := reservation{
 			Upstream: *u, p: p, inUse: s.inUse, candidates: len(p.candidates), queue: p.queueAt(i, q), isEscalated: q.isEscalated,
-			name: q.name, isPlain: q.isPlain(), relativeTime: p.options[i].RelativeTime, sentAt: at,
+			name: q.name, isPlain: q.isPlain(), relativeTime: p.relativeTimes[i], sentAt: at,
 		}
 		res.tokens = res.queue.ahead/res.relativeTime + res.queue.own
 		res.pendingTokens = res.queue.own
@@ -255,7 +256,7 @@
 
 // queueAt returns the queue at a candidate.
 func (p *picker) queueAt(i int, q pickRequest) queue {
-	relative := p.options[i].RelativeTime
+	relative := p.relativeTimes[i]
 	at := queue{ahead: p.candidates[i].Work - q.work.own*relative, own: q.work.own, hasAffinity: i == p.affinity}
 	if !at.hasAffinity {
 		at.ahead -= q.reprefillTokens() * relative
@@ -267,7 +268,8 @@
 // collect fills the candidates. Ejected upstreams and outliers are included
 // only if not strict.
 func (p *picker) collect(at time.Time, st *fleet.State, spec config.ServiceSpec, q pickRequest, strict bool) {
-	candidates, matches, options := p.candidates[:0], p.matches[:0], p.options[:0]
+	candidates, matches, relativeTimes := p.candidates[:0], p.matches[:0], p.relativeTimes[:0]
+	p.options = p.options[:0]
 	p.hasReports = p.services[q.service].Reports(at)
 	others := p.othersAt(q, p.hasReports)
 	var outliers map[jdaw.UpstreamKey]bool
@@ -321,17 +323,17 @@
 			Hash: hash, InUse: s.inUse, Limit: max(u.Slots, 1) * queueFactor, Usable: true,
 			Work: (s.ahead(load, q.isEscalated) + q.work.own + reprefill) * relative,
 		})
-		option := pace.Option{RelativeTime: relative}
+		relativeTimes = append(relativeTimes, relative)
 		if p.hasReports && isPlain {
-			option.InFlight, option.Slots = s.inFlight(at, load), u.Slots
-			option.IsFree = candidates[len(candidates)-1].IsFree()
+			p.options = append(p.options, pace.Option{
+				RelativeTime: relative, InFlight: s.inFlight(at, load), Slots: u.Slots, IsFree: candidates[len(candidates)-1].IsFree(),
+			})
 		}
-		options = append(options, option)
 	}
-	p.candidates, p.matches, p.options = candidates, matches, options
+	p.candidates, p.matches, p.relativeTimes = candidates, matches, relativeTimes
 	p.affinity = route.TopRanked(q.prefix, p.candidates)
 	if p.affinity >= 0 {
-		p.candidates[p.affinity].Work -= reprefill * p.options[p.affinity].RelativeTime
+		p.candidates[p.affinity].Work -= reprefill * p.relativeTimes[p.affinity]
 	}
 }
 
