relay, loads, platform: escalations of urgent routes go before those of others

Change: with rankEscalations, urgent escalations have the first priority, and their queue leaves out most of the others. The terms of a deployment switch it on; the adapter translates them.

--- a/backlog.go
+++ b/backlog.go
@@ -13,6 +13,9 @@
 	// Later is the part of Tokens that belongs to escalations of cascades;
 	// first steps do not queue behind it.
 	Later uint32
+	// LessUrgent is the part of Later that is not of the most urgent rank, which
+	// does not queue behind it.
+	LessUrgent uint32
 	// Ended counts recently ended requests and Failed the failed ones of
 	// them, both decayed and in units of 1/OutcomeUnit.
 	Ended  uint32
@@ -33,7 +36,7 @@
 // With returns the sum of two loads.
 func (l UpstreamLoad) With(other UpstreamLoad) UpstreamLoad {
 	return UpstreamLoad{
-		Tokens: l.Tokens + other.Tokens, Later: l.Later + other.Later,
+		Tokens: l.Tokens + other.Tokens, Later: l.Later + other.Later, LessUrgent: l.LessUrgent + other.LessUrgent,
 		Ended: l.Ended + other.Ended, Failed: l.Failed + other.Failed, Running: l.Running + other.Running,
 		Timed: l.Timed + other.Timed, Speed: l.Speed + other.Speed,
 	}
--- a/cmd/jackdawbarrow/relay.go
+++ b/cmd/jackdawbarrow/relay.go
@@ -28,6 +28,7 @@
 	if err != nil {
 		return err
 	}
+	settings = platform.ApplyTerms(settings)
 	log, err := newLogger(settings.Log)
 	if err != nil {
 		return err
--- a/config/relay.go
+++ b/config/relay.go
@@ -29,8 +29,14 @@
 	Exposure float64 `yaml:"exposure"`
 	// QualityTarget is the confidence, 0..1, that an answer of a cascade must
 	// reach.
-	QualityTarget float64     `yaml:"qualityTarget"`
-	Log           LogSettings `yaml:"log"`
+	QualityTarget float64 `yaml:"qualityTarget"`
+	// RankEscalations lets escalations of the most urgent routes go before those
+	// of all others at upstreams, whatever the length of their prompts.
+	RankEscalations bool `yaml:"rankEscalations"`
+	// Terms are the platform's names of what it demands of a deployment. Its
+	// adapter switches on the settings that they call for.
+	Terms []string    `yaml:"terms"`
+	Log   LogSettings `yaml:"log"`
 }
 
 // RelayAddresses are IP:port of what the process serves.
--- a/loads/node.go
+++ b/loads/node.go
@@ -318,6 +318,9 @@
 		w.Upstreams = append(w.Upstreams, uint32(key))
 		w.Tokens = append(w.Tokens, load.Tokens)
 		w.Later = append(w.Later, load.Later)
+		if load.LessUrgent > 0 {
+			w.LessUrgent = appendAt(w.LessUrgent, len(w.Later)-1, load.LessUrgent)
+		}
 		w.Ended = append(w.Ended, load.Ended)
 		w.Failed = append(w.Failed, load.Failed)
 	}
@@ -355,12 +358,24 @@
 			w.Upstreams = append(w.Upstreams, uint32(key))
 			w.Tokens = append(w.Tokens, load.Tokens)
 			w.Later = append(w.Later, load.Later)
+			if load.LessUrgent > 0 {
+				w.LessUrgent = appendAt(w.LessUrgent, len(w.Later)-1, load.LessUrgent)
+			}
 		}
 	}
 	encodePace(w, b)
 	return w
 }
 
+// appendAt sets the value at an index beyond the end of a list. Values missing at
+// the end are 0, so that lists of zeros need no space.
+func appendAt(list []uint32, i int, value uint32) []uint32 {
+	for len(list) < i {
+		list = append(list, 0)
+	}
+	return append(list, value)
+}
+
 // decode reads a backlog. Values missing at the end of a list are 0.
 func decode(w *wire.Backlog) jdaw.Backlog {
 	at := func(list []uint32, i int) uint32 {
@@ -372,7 +387,7 @@
 	b := make(jdaw.Backlog, len(w.GetUpstreams()))
 	for i, key := range w.GetUpstreams() {
 		b[jdaw.UpstreamKey(key)] = jdaw.UpstreamLoad{
-			Tokens: at(w.GetTokens(), i), Later: at(w.GetLater(), i),
+			Tokens: at(w.GetTokens(), i), Later: at(w.GetLater(), i), LessUrgent: at(w.GetLessUrgent(), i),
 			Ended: at(w.GetEnded(), i), Failed: at(w.GetFailed(), i),
 			Running: at(w.GetRunning(), i), Timed: at(w.GetTimed(), i), Speed: at(w.GetSpeed(), i),
 		}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -183,9 +183,11 @@
 	if model == "" {
 		model = c.info.Model
 	}
+	isRanked := c.x.cfg.RankEscalations && isEscalated
 	return pickRequest{
 		service: c.service, name: c.route.Name, sample: c.sample, prefix: prefixHash(c.info.Prompt, model), salt: rand.Uint64(),
 		work: c.work(st, model), isEscalated: isEscalated,
+		isUrgent: isRanked && c.rank() <= mostUrgentRank, isLessUrgent: isRanked && c.rank() > mostUrgentRank,
 	}
 }
 
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -75,6 +75,9 @@
 	inUse           int
 	pendingTokens   float64 // of this VM's requests without a first event
 	escalatedTokens float64 // the part of pendingTokens that belongs to escalations
+	// lessUrgentTokens is the part of escalatedTokens that is not of the most
+	// urgent rank.
+	lessUrgentTokens float64
 	// restrictedUntil is not before the end of any notice, ejection or cold time
 	// that this VM learned of: it is the only one to check of most upstreams.
 	restrictedUntil time.Time
@@ -98,10 +101,13 @@
 func (s *upstreamState) work() float64 { return s.pendingTokens + runningTokens*float64(s.inUse) }
 
 // ahead is the work of all VMs that the upstream processes before a new request.
-func (s *upstreamState) ahead(others jdaw.UpstreamLoad, isEscalated bool) float64 {
+func (s *upstreamState) ahead(others jdaw.UpstreamLoad, q *pickRequest) float64 {
 	work := s.work() + float64(others.Tokens)
-	if !isEscalated {
+	switch {
+	case !q.isEscalated:
 		work -= (1 - escalatedShare) * (s.escalatedTokens + float64(others.Later))
+	case q.isUrgent:
+		work -= (1 - escalatedShare) * (s.lessUrgentTokens + float64(others.LessUrgent))
 	}
 	return work
 }
@@ -111,6 +117,9 @@
 	s.pendingTokens = max(s.pendingTokens+sign*res.pendingTokens, 0)
 	if res.isEscalated {
 		s.escalatedTokens = max(s.escalatedTokens+sign*res.pendingTokens, 0)
+		if res.isLessUrgent {
+			s.lessUrgentTokens = max(s.lessUrgentTokens+sign*res.pendingTokens, 0)
+		}
 	}
 }
 
@@ -160,6 +169,9 @@
 	exclude     []jdaw.UpstreamID
 	work        promptWork
 	isEscalated bool // an escalation
+	// isUrgent and isLessUrgent tell escalations of the most urgent rank from
+	// others; neither is set where escalations aren't ranked.
+	isUrgent, isLessUrgent bool
 }
 
 // reprefillTokens is the penalty of upstreams that haven't cached the shared prefix.
@@ -187,6 +199,7 @@
 	candidates    int
 	queue         queue
 	isEscalated   bool
+	isLessUrgent  bool
 	pendingTokens float64 // its part of the upstream's pendingTokens
 	name          string
 	isPlain       bool
@@ -217,7 +230,7 @@
 		u := p.matches[i]
 		s := p.stateOf(u)
 		res := reservation{
-			Upstream: *u, p: p, inUse: s.inUse, candidates: len(p.candidates), queue: p.queueAt(i, q), isEscalated: q.isEscalated,
+			Upstream: *u, p: p, inUse: s.inUse, candidates: len(p.candidates), queue: p.queueAt(i, q), isEscalated: q.isEscalated, isLessUrgent: q.isLessUrgent,
 			name: q.name, isPlain: q.isPlain(), relativeTime: p.relativeTimes[i], sentAt: at,
 		}
 		res.tokens = res.queue.ahead/res.relativeTime + res.queue.own
@@ -321,7 +334,7 @@
 		matches = append(matches, u)
 		candidates = append(candidates, route.Candidate{
 			Hash: hash, InUse: s.inUse, Limit: max(u.Slots, 1) * queueFactor, Usable: true,
-			Work: (s.ahead(load, q.isEscalated) + q.work.own + reprefill) * relative,
+			Work: (s.ahead(load, &q) + q.work.own + reprefill) * relative,
 		})
 		relativeTimes = append(relativeTimes, relative)
 		if p.hasReports && isPlain {
@@ -365,7 +378,7 @@
 		}
 		s = &upstreamState{
 			key: u.ID.Key(), hash: xxhash.Sum64String(string(u.ID)), service: u.Service, pace: p.paceOf(u),
-			startedAt: u.Born, inUse: old.inUse, pendingTokens: old.pendingTokens, escalatedTokens: old.escalatedTokens,
+			startedAt: u.Born, inUse: old.inUse, pendingTokens: old.pendingTokens, escalatedTokens: old.escalatedTokens, lessUrgentTokens: old.lessUrgentTokens,
 		}
 		p.upstreams[u.ID] = s
 	}
@@ -429,7 +442,7 @@
 	defer p.mu.Unlock()
 	b := jdaw.Backlog{}
 	for _, s := range p.upstreams {
-		load := jdaw.UpstreamLoad{Tokens: uint32(s.work()), Later: uint32(s.escalatedTokens)}
+		load := jdaw.UpstreamLoad{Tokens: uint32(s.work()), Later: uint32(s.escalatedTokens), LessUrgent: uint32(s.lessUrgentTokens)}
 		load.Ended, load.Failed = s.recent.counts(at)
 		s.addPace(at, &load)
 		if load != (jdaw.UpstreamLoad{}) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,6 +49,9 @@
 	Poison Poison
 	// QualityTarget is the confidence, 0..1, that a response must reach.
 	QualityTarget float64
+	// RankEscalations lets escalations of urgent routes go before those of others,
+	// whatever the length of their prompts.
+	RankEscalations bool
 	// BodyMemory bounds the bodies of all requests and responses that are held at
 	// once, in bytes; 0 takes the default.
 	BodyMemory int64
@@ -309,24 +312,40 @@
 // of the first one and would block everything behind it. Among escalations,
 // prompts with a long prefill go first, since they have the least slack.
 func (c *call) upstreamPriority(at time.Time, q queue) int {
-	priority := c.route.Rank
-	if c.priority >= 0 {
-		priority = c.priority
-	}
-	priority = min(priority, escalatedPriority-1)
+	priority := min(c.rank(), escalatedPriority-1)
 	if !c.streaming.isEscalated() {
 		return priority
 	}
-	if c.x.prefillRates.predict(at, c.service, q.own) > time.Duration(longPrefillShare*float64(c.route.Target)) {
-		return escalatedPriority
+	isLong := c.x.prefillRates.predict(at, c.service, q.own) > time.Duration(longPrefillShare*float64(c.route.Target))
+	if !c.x.cfg.RankEscalations {
+		if isLong {
+			return escalatedPriority
+		}
+		return escalatedPriority + priority
+	}
+	// Without a long prompt, the step after that of the long ones of its rank.
+	step := escalatedPriority + 2*priority
+	if !isLong && priority > mostUrgentRank {
+		step++
+	}
+	return min(step, lastPriority)
+}
+
+// rank is the rank of the workspace, or else of the route.
+func (c *call) rank() int {
+	if c.priority >= 0 {
+		return c.priority
 	}
-	return escalatedPriority + priority
+	return c.route.Rank
 }
 
 const (
 	// escalatedPriority is the first priority of escalations. Upstreams have
 	// priorities 0 to 9, 0 first.
 	escalatedPriority = 5
+	lastPriority      = 9
+	// mostUrgentRank is the rank of the requests that go before all others.
+	mostUrgentRank = 0
 	// longPrefillShare is the share of the target above which a prefill is long.
 	// With a quarter, these are the largest fifth of the longest kind of prompt.
 	longPrefillShare = 0.25
