dial, relay: connections to upstreams that have left are closed

Cause: idle connections were closed only when a request to the same address found them. Tests changed: FuzzReadResponse passes the new argument of newConn.

--- a/dial/conn.go
+++ b/dial/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -23,11 +24,20 @@
 	r         *bufio.Reader // of source
 	idleSince time.Time
 	expires   time.Time
+	closed    func() // called once
 }
 
-func newConn(nc net.Conn, addr string) *conn {
+func newConn(nc net.Conn, addr string, closed func()) *conn {
 	source := &boundedReader{r: nc}
-	return &conn{Conn: nc, addr: addr, source: source, r: bufio.NewReaderSize(source, readBuffer)}
+	return &conn{
+		Conn: nc, addr: addr, source: source, r: bufio.NewReaderSize(source, readBuffer), closed: sync.OnceFunc(closed),
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.closed()
+	return c.Conn.Close()
 }
 
 var errUnbounded = errors.New("the upstream sends more bytes than a response may have")
--- a/dial/fuzz_test.go
+++ b/dial/fuzz_test.go
@@ -37,7 +37,7 @@
 		f.Add([]byte(text))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		c := newConn(&scriptedConn{r: bytes.NewReader(text)}, "")
+		c := newConn(&scriptedConn{r: bytes.NewReader(text)}, "", func() {})
 		owner := func(_ int, h http.Header) Owner {
 			if h.Get("Request-Id") == "1" {
 				return OwnerThis
--- a/dial/pool.go
+++ b/dial/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,14 @@
 	maxIdleConns = 16
 	// defaultIdleTime applies if the upstream doesn't state a timeout.
 	defaultIdleTime = 4 * time.Second
+	// maxIdleTotal limits the idle connections to all upstreams: a quarter of the
+	// descriptors of the smallest VMs. The least recently used ones are closed first.
+	maxIdleTotal = 1024
+	// maxIdleShare is the share of the process's descriptors that idle connections
+	// may take. Callers need the others.
+	maxIdleShare = 0.25
+	// minSweepInterval limits the wake-ups that close expired connections.
+	minSweepInterval = time.Second
 	// idleMargin is subtracted from a stated timeout: the outcome of a request that
 	// races with the upstream closing the connection is unknown.
 	idleMargin = 500 * time.Millisecond
@@ -40,6 +49,8 @@
 type Config struct {
 	// IdleTime is the maximum time to keep an idle connection.
 	IdleTime time.Duration
+	// MaxIdle is the maximum number of idle connections to all upstreams.
+	MaxIdle int
 }
 
 // Pool keeps idle connections by upstream address. It is safe for concurrent use.
@@ -50,9 +61,23 @@
 	// connections close.
 	writers conc.WaitGroup
 
-	mu     sync.Mutex
-	idle   map[string][]*conn // most recently used last
-	closed bool
+	open atomic.Int64 // connections, idle or in use
+
+	mu        sync.Mutex
+	idle      map[string][]*conn // most recently used last
+	idleCount int
+	// live are the addresses of the upstreams in force; nil stands for any.
+	live map[string]bool
+	// sweeper closes expired connections; isSweepDue is set while it is to run.
+	sweeper    *time.Timer
+	isSweepDue bool
+	closed     bool
+}
+
+// Stats are the numbers of connections of a Pool.
+type Stats struct {
+	Open int // idle or in use
+	Idle int
 }
 
 // New returns an empty pool.
@@ -60,9 +85,29 @@
 	if cfg.IdleTime == 0 {
 		cfg.IdleTime = defaultIdleTime
 	}
+	if cfg.MaxIdle == 0 {
+		cfg.MaxIdle = defaultMaxIdle()
+	}
 	return &Pool{cfg: cfg, idle: map[string][]*conn{}, dialer: NewDialer(connectTimeout)}
 }
 
+// defaultMaxIdle returns the number of idle connections for the process's limit of
+// descriptors.
+func defaultMaxIdle() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return maxIdleTotal
+	}
+	return int(max(min(maxIdleShare*float64(limit.Cur), maxIdleTotal), 1))
+}
+
+// Stats returns the current numbers of connections.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Stats{Open: int(p.open.Load()), Idle: p.idleCount}
+}
+
 // SetUserTimeout closes the connection of a socket if sent bytes aren't
 // acknowledged within d.
 func SetUserTimeout(fd uintptr, d time.Duration) error {
@@ -111,16 +156,27 @@
 		return nil
 	}
 	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
+	p.setIdle(addr, list[:len(list)-1])
 	return c
 }
 
+// setIdle replaces the idle connections to an address. The caller holds mu.
+func (p *Pool) setIdle(addr string, list []*conn) {
+	p.idleCount += len(list) - len(p.idle[addr])
+	if len(list) == 0 {
+		delete(p.idle, addr)
+		return
+	}
+	p.idle[addr] = list
+}
+
 func (p *Pool) connect(ctx context.Context, addr string) (*conn, error) {
 	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to upstream %s", addr)
 	}
-	return newConn(nc, addr), nil
+	p.open.Add(1)
+	return newConn(nc, addr, func() { p.open.Add(-1) }), nil
 }
 
 // Refuses reports whether connections to an address are refused, as they are when
@@ -137,7 +193,8 @@
 	return false
 }
 
-// put returns a connection to the pool.
+// put returns a connection to the pool. It closes the connection if the upstream has
+// left or has enough idle ones.
 func (p *Pool) put(c *conn, idleTime time.Duration) {
 	if idleTime <= 0 || idleTime > p.cfg.IdleTime {
 		idleTime = p.cfg.IdleTime
@@ -145,37 +202,129 @@
 	now := time.Now()
 	c.idleSince = now
 	c.expires = now.Add(idleTime)
+	if surplus := p.keep(c, now); surplus != nil {
+		surplus.Close()
+	}
+}
+
+// keep adds an idle connection and returns the one to close in its place, or nil.
+func (p *Pool) keep(c *conn, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[c.addr]
-	if p.closed || len(list) >= maxIdleConns {
-		c.Close()
+	if p.closed || len(list) >= maxIdleConns || p.live != nil && !p.live[c.addr] {
+		return c
+	}
+	p.setIdle(c.addr, append(list, c))
+	p.scheduleSweep(c.expires.Sub(now))
+	if p.idleCount > p.cfg.MaxIdle {
+		return p.removeOldest()
+	}
+	return nil
+}
+
+// removeOldest removes and returns the idle connection that was used least recently.
+// The caller holds mu.
+func (p *Pool) removeOldest() *conn {
+	var oldest *conn
+	for _, list := range p.idle {
+		if oldest == nil || list[0].idleSince.Before(oldest.idleSince) {
+			oldest = list[0]
+		}
+	}
+	p.setIdle(oldest.addr, append([]*conn(nil), p.idle[oldest.addr][1:]...))
+	return oldest
+}
+
+// scheduleSweep lets the sweeper run after d, unless it is due already. Then it finds
+// the time of its next run itself. The caller holds mu.
+func (p *Pool) scheduleSweep(d time.Duration) {
+	if p.isSweepDue || p.closed {
 		return
 	}
-	p.idle[c.addr] = append(list, c)
+	p.isSweepDue = true
+	d = max(d, minSweepInterval)
+	if p.sweeper == nil {
+		p.sweeper = time.AfterFunc(d, p.sweep)
+		return
+	}
+	p.sweeper.Reset(d)
 }
 
-// Forget closes the idle connections to an address.
-func (p *Pool) Forget(addr string) {
+// sweep closes the expired connections. It runs again when the next one expires.
+func (p *Pool) sweep() {
+	now := time.Now()
 	p.mu.Lock()
-	list := p.idle[addr]
-	delete(p.idle, addr)
+	p.isSweepDue = false
+	expired := p.remove(func(c *conn) bool { return !now.Before(c.expires) })
+	var next time.Time
+	for _, list := range p.idle {
+		for _, c := range list {
+			if next.IsZero() || c.expires.Before(next) {
+				next = c.expires
+			}
+		}
+	}
+	if !next.IsZero() {
+		p.scheduleSweep(next.Sub(now))
+	}
 	p.mu.Unlock()
+	closeAll(expired)
+}
+
+// remove removes and returns the idle connections that isRemoved selects. The caller
+// holds mu.
+func (p *Pool) remove(isRemoved func(*conn) bool) []*conn {
+	var removed []*conn
+	for addr, list := range p.idle {
+		var kept []*conn
+		for _, c := range list {
+			if isRemoved(c) {
+				removed = append(removed, c)
+				continue
+			}
+			kept = append(kept, c)
+		}
+		p.setIdle(addr, kept)
+	}
+	return removed
+}
+
+func closeAll(list []*conn) {
 	for _, c := range list {
 		c.Close()
 	}
 }
 
+// Retain closes the idle connections to all but these addresses. Connections in use
+// to other addresses are closed after their response. An address that a new upstream
+// has taken over keeps its connections: those of the old upstream are closed by
+// their peer and not reused.
+func (p *Pool) Retain(addrs map[string]bool) {
+	p.mu.Lock()
+	p.live = addrs
+	removed := p.remove(func(c *conn) bool { return !addrs[c.addr] })
+	p.mu.Unlock()
+	closeAll(removed)
+}
+
+// Forget closes the idle connections to an address.
+func (p *Pool) Forget(addr string) {
+	p.mu.Lock()
+	list := p.idle[addr]
+	p.setIdle(addr, nil)
+	p.mu.Unlock()
+	closeAll(list)
+}
+
 // Close closes all idle connections. Requests in flight continue.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
-	idle := p.idle
-	p.idle = map[string][]*conn{}
-	p.mu.Unlock()
-	for _, list := range idle {
-		for _, c := range list {
-			c.Close()
-		}
+	if p.sweeper != nil {
+		p.sweeper.Stop()
 	}
+	idle := p.remove(func(*conn) bool { return true })
+	p.mu.Unlock()
+	closeAll(idle)
 }
--- a/gate/process.go
+++ b/gate/process.go
@@ -136,6 +136,9 @@
 	if err := p.observeStore(instruments); err != nil {
 		return nil, err
 	}
+	if err := p.observePool(instruments); err != nil {
+		return nil, err
+	}
 	p.loads = loads.New(loads.Config{
 		Self: self, State: p.node.State, Poison: p.poison, Quarantine: p.node.Quarantine, Log: cfg.Log,
 		Own: func() jdaw.Backlog {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -80,8 +80,17 @@
 	}
 }
 
-// Forget drops the state of removed upstreams.
-func (x *Relay) Forget(st *fleet.State) { x.picker.forget(time.Now(), st) }
+// Forget drops the state of removed upstreams and closes the connections to them.
+func (x *Relay) Forget(st *fleet.State) {
+	x.picker.forget(time.Now(), st)
+	addrs := map[string]bool{}
+	for _, list := range st.Upstreams {
+		for i := range list {
+			addrs[list[i].Address] = true
+		}
+	}
+	x.cfg.Pool.Retain(addrs)
+}
 
 // Backlog returns this VM's work and recent outcomes at upstreams.
 func (x *Relay) Backlog() jdaw.Backlog { return x.picker.backlog(time.Now()) }
