gate: a planned stop doesn't close connections whose request has been read

Cause: net/http counts a connection as idle until the header of its next request is parsed. Change: the listener's connections record input since their last response; a stop closes those without any, drops later input on them, and leaves all open while requests are accepted. Each response that begins in a drain ends its connection, not only those whose request came in it. The servers of directory, readiness and metrics stop in the same way.

--- a/gate/process.go
+++ b/gate/process.go
@@ -42,8 +42,10 @@
 	// answerShare is the share of the grace time after which requests in flight get
 	// their final response.
 	answerShare = 0.9
-	// shutdownShare is the share of the grace time after which connections are closed.
+	// shutdownShare is the share of the grace time after which callers' connections are
+	// closed, and probeShare that for the connections of probes.
 	shutdownShare = 0.92
+	probeShare    = 0.94
 	// maxHeaderBytes and maxHeaderTime limit the header of a request, whatever the
 	// configuration allows.
 	maxHeaderBytes = 256 << 10
@@ -81,6 +83,7 @@
 	relay      *relay.Relay
 	callers    *http.Server
 	auxServers []*http.Server
+	conns      map[*http.Server]*serverConns
 	feed       *feed.Feed
 	loads      *loads.Node
 	poison     *poison.Detector
@@ -93,7 +96,7 @@
 // New starts the process of an entry VM.
 func New(cfg Config) (*Process, error) {
 	s := cfg.Settings
-	p := &Process{cfg: cfg, pool: dial.New(dial.Config{}), poison: poison.New(poison.Config{Log: cfg.Log})}
+	p := &Process{cfg: cfg, pool: dial.New(dial.Config{}), poison: poison.New(poison.Config{Log: cfg.Log}), conns: map[*http.Server]*serverConns{}}
 	machine := fleet.NewMachine(fleet.MachineConfig{Self: s.VM, Region: s.Region, DataCentres: s.DataCentres, Exposure: s.Exposure})
 	post := func(ev jdaw.Event) { p.loop.Post(ev) }
 	p.guard = guard.New(guard.Config{
@@ -303,8 +306,10 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", addr)
 	}
+	conns := trackConns(srv, l)
+	p.conns[srv] = conns
 	p.wg.Go(func() {
-		if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(conns); err != nil && !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
 			p.cfg.Log.WithError(err).WithField("address", addr).Error("server failed")
 		}
 	})
@@ -314,10 +319,7 @@
 func (p *Process) serveCaller(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
-	if p.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	p.relay.ServeHTTP(w, r)
+	p.relay.ServeHTTP(drainWriter{ResponseWriter: w, isDraining: p.draining.Load}, r)
 }
 
 // callerLimits returns the limits of the configuration in force.
@@ -383,20 +385,24 @@
 }
 
 // Drain removes the VM from the directory, accepts late requests for a while, waits
-// for requests in flight, answers those that are left, and stops. It returns within
-// the grace time.
+// for requests in flight, answers those that are left, and stops. Each response that
+// begins in a drain ends its connection; other connections are closed when they are
+// idle and the while is over. It returns within the grace time.
 func (p *Process) Drain(grace time.Duration) {
 	startedAt := time.Now()
 	p.draining.Store(true)
 	after := func(share float64) time.Time { return startedAt.Add(time.Duration(float64(grace) * share)) }
 	p.relay.Drain(after(answerShare))
 	p.node.Leave()
-	p.callers.SetKeepAlivesEnabled(false)
 	time.Sleep(time.Duration(float64(grace) * acceptShare))
-	ctx, cancel := context.WithDeadline(context.Background(), after(shutdownShare))
-	defer cancel()
-	if err := p.callers.Shutdown(ctx); err != nil {
+	if !p.conns[p.callers].stop(after(shutdownShare)) {
 		p.cfg.Log.WithField("requests", p.inFlight.Load()).Warn("grace time exceeded; aborting requests in flight")
+		_ = p.callers.Close()
+	}
+	for _, srv := range p.auxServers {
+		if !p.conns[srv].stop(after(probeShare)) {
+			p.cfg.Log.WithField("address", p.conns[srv].Addr().String()).Warn("grace time exceeded; aborting probes")
+		}
 	}
 }
 
