gate: the idle timeout spares connections whose next request is being read

Cause: the timer closed the connection while the header of the next request was on its way or just read; the request could be passed on without a caller. Change: a connection is closed at the end of its idle time only if nothing was read on it since the last response; else the header timeout applies. Measured: TestRequestAtTheEndOfTheIdleTime, which also checks that a stalled header still ends; go test -race ./gate passes.

--- a/gate/conns.go
+++ b/gate/conns.go
@@ -39,7 +39,27 @@
 	case http.StateNew:
 		c.timers[conn] = c.closeAfter(conn, c.limits().WithDefaults().HeaderTime, "no request on a new connection")
 	case http.StateIdle:
-		c.timers[conn] = c.closeAfter(conn, c.limits().WithDefaults().IdleTime, "no further request")
+		c.timers[conn] = time.AfterFunc(c.limits().WithDefaults().IdleTime, func() { c.idleTimeEnded(conn) })
+	}
+}
+
+// idleTimeEnded closes a connection without a further request. One whose next request
+// is being read has the header timeout for the rest.
+func (c *callerConns) idleTimeEnded(conn net.Conn) {
+	sc, ok := conn.(*serverConn)
+	if !ok {
+		_ = conn.Close()
+		return
+	}
+	if sc.closeIfIdle() {
+		c.log.WithField("caller", conn.RemoteAddr().String()).Debug("connection closed: no further request")
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.timers[conn]; t != nil { // else the header has been read
+		t.Stop()
+		c.timers[conn] = c.closeAfter(conn, c.limits().WithDefaults().HeaderTime, "no complete header of a further request")
 	}
 }
 
--- a/gate/server_test.go
+++ b/gate/server_test.go
@@ -12,6 +12,10 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"jackdawbarrow/config"
 )
 
 // Guards against kept connections that are closed in a planned stop although their
@@ -184,3 +188,43 @@
 		})
 	}
 }
+
+// Guards against the idle timeout closing a connection whose next request is being
+// read: it would run, and its caller get no answer.
+func TestRequestAtTheEndOfTheIdleTime(t *testing.T) {
+	const idle, header = 200 * time.Millisecond, 600 * time.Millisecond
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	limits := config.CallerLimits{IdleTime: idle, HeaderTime: header}
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	srv.Config.ConnState = newCallerConns(func() config.CallerLimits { return limits }, log).stateChanged
+	srv.Listener = trackConns(srv.Config, srv.Listener)
+	srv.Start()
+	t.Cleanup(srv.Close)
+	begun := func() (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		r := bufio.NewReader(conn)
+		if _, err := exchange(conn, r, "/first"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(idle / 2)
+		_, _ = io.WriteString(conn, "GET /second HTTP/1.1\r\n")
+		return conn, r
+	}
+	conn, r := begun()
+	stalled, _ := begun()
+	time.Sleep(idle)
+	_, _ = io.WriteString(conn, "Host: h\r\n\r\n")
+	if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("the request that was being read at the end of the idle time: %v", err)
+	}
+	began := time.Now()
+	_ = stalled.SetReadDeadline(began.Add(5 * time.Second))
+	if _, err := stalled.Read(make([]byte, 1)); err != io.EOF || time.Since(began) > 2*header {
+		t.Errorf("an incomplete header: %v after %v, want a closed connection within the header time", err, time.Since(began))
+	}
+}
