fleet: a VM keeps its own entry when a write of it is done late

Cause: a failed write of the own entry was repeated under another lease. Change: a failed write is repeated under the same lease; the entry names its lease, and a VM that reads its own entry gone or under another lease writes it again with its next renewal. Only reads that began after the last write count.

--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -114,10 +114,12 @@
 }
 
 func (n *Node) load(outage time.Duration) (uint64, error) {
+	asked := time.Now()
 	items, rev, err := n.cfg.Store.Load(n.ctx)
 	if err != nil {
 		return 0, err
 	}
+	n.own.seen(jdaw.Change{Key: n.ownKey(), Removed: true}) // unless an item follows
 	lag := outage
 	if n.State() == nil {
 		lag = 0 // a starting VM takes the age of a roll-out from its step
@@ -133,6 +135,7 @@
 			}
 		}
 	}
+	n.own.readUntil(asked)
 	n.cfg.Post(Synced{Reloaded: true})
 	if n.cfg.Feed != nil {
 		n.publishReload(items, rev)
@@ -221,6 +224,10 @@
 		for _, c := range b.changes {
 			n.post(c, lag)
 		}
+		if b.isFromPeer {
+			asked = asked.Add(-feedLag)
+		}
+		n.own.readUntil(asked)
 		if len(b.changes) > 0 {
 			n.cfg.Post(Synced{})
 		}
@@ -446,6 +453,9 @@
 // post turns one change into an event. lag is the longest time that it may
 // have been in the store unread.
 func (n *Node) post(c jdaw.Change, lag time.Duration) {
+	if c.Key == n.ownKey() {
+		n.own.seen(c)
+	}
 	decode := n.cfg.Decoder.DecodeChange
 	if isInternalKey(c.Key) {
 		decode = decodeInternal
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -1,7 +1,12 @@
 package fleet
 
 import (
+	"context"
+	"encoding/json"
+	"sync"
 	"time"
+
+	"jackdawbarrow"
 )
 
 // MemberSeen is the entry of a VM.
@@ -39,3 +44,80 @@
 	delete(m.expiredMembers, vm)
 	m.dirty = true
 }
+
+// memberEntry is the stored entry of a VM. The lease tells the VM whether the entry
+// ends with the lease that it renews.
+type memberEntry struct {
+	Member
+	Lease string `json:"lease,omitempty"`
+}
+
+// feedLag is the longest time after which a write is in the changes that a feeder
+// returns.
+const feedLag = maxFeederPause + feedWait
+
+// ownEntry compares the VM's entry in the store with the one that it wrote. A write
+// whose response is lost may be done seconds later, under a lease that nobody renews;
+// the entry then ends while the VM renews a lease that holds nothing.
+type ownEntry struct {
+	mu      sync.Mutex
+	lease   string    // of the last write
+	wroteAt time.Time // when the store confirmed it; zero until then
+	// isOther is set if a read returned no entry or one of another lease, and isLost
+	// once a read shows so that began after wroteAt.
+	isOther, isLost bool
+}
+
+// isWritten reports whether the entry is in the store as far as is known.
+func (o *ownEntry) isWritten() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.wroteAt.IsZero() && !o.isLost
+}
+
+// writing records that the entry is being written under a lease.
+func (o *ownEntry) writing(lease string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lease, o.wroteAt = lease, time.Time{}
+	o.isOther, o.isLost = false, false
+}
+
+func (o *ownEntry) written(at time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.wroteAt = at
+}
+
+// seen records a change of the entry.
+func (o *ownEntry) seen(c jdaw.Change) {
+	var e memberEntry
+	isEntry := !c.Removed && json.Unmarshal(c.Value, &e) == nil
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.isOther = !isEntry || e.Lease != o.lease
+	o.isLost = o.isLost && o.isOther
+}
+
+// readUntil records that all changes before a time have been read.
+func (o *ownEntry) readUntil(at time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.isLost = o.isLost || o.isOther && !o.wroteAt.IsZero() && at.After(o.wroteAt)
+}
+
+// writeOwn writes the VM's entry.
+func (n *Node) writeOwn(ctx context.Context, lease string) error {
+	entry, err := encodeEntry(n.ownKey(), memberEntry{Member: n.cfg.Self, Lease: lease})
+	if err != nil {
+		return err
+	}
+	n.own.writing(lease)
+	if err := n.cfg.Store.Put(ctx, []jdaw.Entry{entry}, lease); err != nil {
+		return err
+	}
+	n.own.written(time.Now())
+	return nil
+}
+
+func (n *Node) ownKey() string { return memberPrefix + string(n.cfg.Self.VM) }
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -69,6 +69,7 @@
 	leave            chan struct{}
 	left             sync.Once
 	writes           chan write
+	own              ownEntry
 
 	mu     sync.Mutex
 	counts map[jdaw.ModelVersion]guard.Counts
@@ -209,29 +210,31 @@
 	}
 }
 
+// renew renews the lease and writes the entry if the store doesn't hold it. A failed
+// write is repeated under the same lease: the store may still do the first one.
 func (n *Node) renew(lease *string) error {
 	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
 	defer cancel()
 	if *lease != "" {
 		ok, err := n.cfg.Store.RenewLease(ctx, *lease)
-		if err != nil || ok {
+		if err != nil {
 			return err
 		}
-		*lease = ""
+		if ok && n.own.isWritten() {
+			return nil
+		}
+		if ok {
+			n.cfg.Log.WithField("lease", *lease).Info("own entry is not in the store under this lease; writing it again")
+			return n.writeOwn(ctx, *lease)
+		}
 	}
 	fresh, err := n.cfg.Store.Lease(ctx, leaseTTL)
 	if err != nil {
-		return err
-	}
-	entry, err := encodeEntry(memberPrefix+string(n.cfg.Self.VM), n.cfg.Self)
-	if err != nil {
-		return err
-	}
-	if err := n.cfg.Store.Put(ctx, []jdaw.Entry{entry}, fresh); err != nil {
+		*lease = ""
 		return err
 	}
 	*lease = fresh
-	return nil
+	return n.writeOwn(ctx, fresh)
 }
 
 func (n *Node) deregister(lease string) {
