fleet: the stable version of a roll-out stays the same while it runs

Cause: it was chosen anew with each published state; with few upstreams, an entry of another writer became it as soon as an upstream was replaced or a second such entry appeared, and the guard started its test again. Change: chosen once for an order, kept while an upstream of it is left.

--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -379,15 +379,26 @@
 	return doc
 }
 
-// stableVersion returns the version that a roll-out replaces.
+// stableVersion returns the version that a roll-out replaces. It stays the same while
+// an upstream of it is left: the guard starts a new test if it changes, and an entry
+// of another writer may come to be the first while upstreams are replaced.
 func (m *Machine) stableVersion(r Rollout) string {
 	var list []Upstream
+	known := m.rollouts[r.Service]
 	for _, u := range m.upstreams {
-		if u.Service == r.Service && u.Version != r.Version {
-			list = append(list, *u)
+		if u.Service != r.Service || u.Version == r.Version {
+			continue
+		}
+		if known != nil && known.stable != "" && u.Version == known.stable {
+			return known.stable
 		}
+		list = append(list, *u)
+	}
+	stable := baseline(list)
+	if known != nil {
+		known.stable = stable
 	}
-	return baseline(list)
+	return stable
 }
 
 func (m *Machine) memberView(st *State) *jdaw.View {
--- a/fleet/machine_test.go
+++ b/fleet/machine_test.go
@@ -181,6 +181,35 @@
 	}
 }
 
+// Guards against a trial of a roll-out that starts again, and against one that ends
+// against an odd entry's version: with few upstreams, the entry was the first one seen
+// as soon as an upstream of the stable version was replaced.
+func TestStableVersionWhileUpstreamsAreReplaced(t *testing.T) {
+	m := rolloutMachine("a")
+	stable := func() string { return m.snapshot.Doc.Models[0].Versions[0].Name }
+	steps := []struct {
+		name string
+		do   func()
+	}{
+		{"the odd entry", func() { m.Handle(start, seen("odd", "v0", 12)) }},
+		{"more odd entries", func() { m.Handle(start, seen("odd2", "v0", 13)) }},
+		{"a new upstream", func() { m.Handle(start.Add(time.Second), seen("u3", "v1", 14)) }},
+		{"the old upstream has gone", func() { m.Handle(start.Add(2*time.Second), UpstreamGone{ID: "u1"}) }},
+	}
+	for _, s := range steps {
+		s.do()
+		m.Handle(start.Add(2*time.Second), Synced{})
+		if got := stable(); got != "v1" {
+			t.Fatalf("after %s, the stable version is %s, want v1", s.name, got)
+		}
+	}
+	m.Handle(start.Add(3*time.Second), UpstreamGone{ID: "u3"})
+	m.Handle(start.Add(3*time.Second), Synced{})
+	if got := stable(); got != "v0" {
+		t.Errorf("without an upstream of v1, the stable version is %s, want v0", got)
+	}
+}
+
 // rolloutMachine returns a machine with an order to roll out v2 in 20 s.
 func rolloutMachine(self jdaw.VMID) *Machine {
 	m := newTestMachine(self, "a", "b")
--- a/fleet/rollout.go
+++ b/fleet/rollout.go
@@ -97,6 +97,7 @@
 	Rollout
 	requestedState RolloutState // last state that this VM requested to write
 	requestedAt    time.Time
+	stable         string // the version that it replaces; empty until known
 	isReviewed     bool   // the guard was asked to review it before completion
 	reportedAt     uint64 // revision of the last report
 	// heldUntil is the time of the next review, if the last one found too few
