fleet: the first watch after a loss of the store is short

Cause: a watch without changes shows only after 2.4 s that the store answers again. With the renewal and the rest of a read from another VM, the return took up to 4.1 s; TestVMThatTheStoreTurnsAway allows 3.4 s, needed 3.3 s, and failed beside load. Change: after a loss, the first watch waits 0.7 s at most.

--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -309,9 +309,13 @@
 	return batch{changes: changes, next: next, isFromPeer: true}, err
 }
 
-// watch waits for changes in the store.
+// watch waits for changes in the store. The first watch after a loss is short: while
+// nothing changes, only its end shows that the store answers again.
 func (n *Node) watch(rev uint64) (batch, error) {
 	wait, slack := n.watchTime()
+	if n.lostAt != 0 {
+		wait = min(wait, feedWait)
+	}
 	ctx, cancel := context.WithTimeout(n.ctx, wait+slack)
 	defer cancel()
 	changes, next, err := n.cfg.Store.Changes(ctx, rev, wait)
