retry, relay, dial: one decision on every further attempt

Cause: the idle timeout of such a stream is the time left, so abandon ran at the deadline; it asked neither for repeatable nor for attempts, and isPrepaid sent the loop past the checks of canRetry. dial wrote on a kept connection although the context had ended. The idle timer was armed before its attempt was counted, so that a stream could also exceed maxAttempts.

Change: retry.Decide holds all limits (repeatable, deadline, caller gone, attempts, dispatches, budget, bytes sent and whether they can be continued); retries, refusals, idle timeouts and escalations ask it, and what abandon took from the budget passes no other check. dial writes nothing after the end of the context and reports the request as not sent. Two cases of the same class are closed with it: a broken stream whose events have no ids is not begun anew in the middle of the response, and a route that may run once does not escalate.

--- a/dial/exchange.go
+++ b/dial/exchange.go
@@ -126,6 +126,12 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	// The callback below closes the connection concurrently: a kept one would
+	// still take the request.
+	if err := ctx.Err(); err != nil {
+		c.Close()
+		return nil, &Error{Err: errors.Wrap(err, "request not sent")}
+	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	resp, err := p.exchange(c, q)
 	if err != nil {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -18,12 +18,10 @@
 	"jackdawbarrow/dial"
 	"jackdawbarrow/fleet"
 	"jackdawbarrow/guard"
+	"jackdawbarrow/retry"
 )
 
 const (
-	// maxDispatches limits the dispatches of one request, including those to
-	// upstreams that could not be connected to.
-	maxDispatches = 5
 	// unsafeIdle is the longest idle time of a connection that is reused for a
 	// non-idempotent request.
 	unsafeIdle = 700 * time.Millisecond
@@ -53,6 +51,9 @@
 	// idleTimer abandons the attempt; nil for plain responses.
 	idleTimer   *time.Timer
 	isAbandoned atomic.Bool
+	// attempts and dispatches are those of the request with this one.
+	attempts   int
+	dispatches int
 }
 
 func (a *attempt) sawEvent(at time.Time) {
@@ -133,7 +134,7 @@
 	if !c.route.IsRepeatable() {
 		req.MaxIdle = unsafeIdle
 	}
-	a := &attempt{request: q, reservation: res, cancel: cancel, sentAt: at}
+	a := &attempt{request: q, reservation: res, cancel: cancel, sentAt: at, attempts: c.attempts + 1, dispatches: c.dispatches}
 	req.Owner = func(status int, h http.Header) dial.Owner {
 		a.info = c.x.cfg.Protocol.ReadAnswer(status, h)
 		switch a.info.RequestID {
@@ -145,7 +146,7 @@
 		return dial.OwnerOther
 	}
 	if c.streaming != nil {
-		a.idleTimer = time.AfterFunc(c.streaming.idleTimeout(false), func() { c.streaming.abandon(a) })
+		a.idleTimer = time.AfterFunc(c.streaming.idleTimeout(a, false), func() { c.streaming.abandon(a) })
 	}
 	response, err := c.x.cfg.Pool.Do(ctx, req)
 	if err != nil {
@@ -229,6 +230,11 @@
 		return attemptResult{outcome: outcomeNeutral, err: err}, true
 	case err != nil && c.r.Context().Err() != nil:
 		return attemptResult{outcome: outcomeNeutral, err: errCallerGone}, true
+	case err != nil && !dial.WasSent(err) && c.ctx.Err() != nil:
+		// The deadline ended the attempt, which says nothing about the upstream.
+		return attemptResult{
+			outcome: outcomeNeutral, err: c.notRunError(jdaw.CodeUpstreamRefused, "no upstream could be reached before the deadline"),
+		}, true
 	case err != nil && !dial.WasSent(err):
 		if contains(c.exclude, a.reservation.ID) {
 			c.unreachable = append(c.unreachable, a.reservation.ID)
@@ -289,15 +295,37 @@
 	return jdaw.Fail(code, format, args...)
 }
 
-// canRetry reports whether a retry is within all limits.
-func (c *call) canRetry(v attemptResult) bool {
-	if !v.mayRetry || c.ctx.Err() != nil || c.dispatches >= maxDispatches || c.attempts >= max(c.route.MaxAttempts, 1) {
-		return false
+// canRetry reports whether a retry is within all limits. isPaid is set if it was
+// taken from the retry budget before.
+func (c *call) canRetry(v attemptResult, isPaid bool) bool {
+	cause := retry.CauseFailed
+	switch v.outcome {
+	case outcomeUnreachable:
+		cause = retry.CauseUnreachable
+	case outcomeShed, outcomeReplaced:
+		cause = retry.CauseRefused
+	}
+	return v.mayRetry && retry.Decide(c.retryRequest(), cause, func() bool {
+		return isPaid || c.x.retryBudget.take(c.service, 0)
+	}) == retry.Allowed
+}
+
+// retryRequest returns the state of the request between two attempts.
+func (c *call) retryRequest() retry.Request {
+	return retry.Request{
+		IsRepeatable: c.route.IsRepeatable(), MayHaveRun: c.mayHaveRun, IsCallerGone: c.r.Context().Err() != nil,
+		Remaining: c.timeLeft(), Attempts: c.attempts, MaxAttempts: c.route.MaxAttempts, Dispatches: c.dispatches,
+		HasBegun: c.isStarted, CanContinue: c.streaming.canResume(),
 	}
-	if v.outcome == outcomeUnreachable {
-		return true // the upstream got nothing, so it needs no budget
+}
+
+// timeLeft returns the time until another attempt is pointless; 0 at the deadline
+// and when a stopping VM ends its requests.
+func (c *call) timeLeft() time.Duration {
+	if c.ctx.Err() != nil {
+		return 0
 	}
-	return c.x.retryBudget.take(c.service, 0)
+	return c.remaining()
 }
 
 // attemptLimit returns the time for one attempt.
@@ -334,7 +362,7 @@
 			return c.writePlain(a.response, held)
 		}
 		// A failure that an upstream answered is better than none.
-		if (v.err != nil || c.hasUpstream()) && c.canRetry(v) {
+		if (v.err != nil || c.hasUpstream()) && c.canRetry(v, false) {
 			continue
 		}
 		if v.err == nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jackdawbarrow"
+	"jackdawbarrow/retry"
 )
 
 const (
@@ -85,7 +86,7 @@
 			a.end(v.outcome)
 			c.reportCrash(a, v)
 		}
-		if s.isPrepaid.Swap(false) || c.canRetry(v) {
+		if c.canRetry(v, s.isPrepaid.Swap(false)) {
 			continue
 		}
 		if !c.isStarted {
@@ -177,8 +178,15 @@
 	mediaType string
 	// isPrepaid is set if the budget for the next retry was already taken.
 	isPrepaid atomic.Bool
+	// isUnmarked is set if events without an ID were sent to the caller, after
+	// which no other upstream can continue the stream.
+	isUnmarked atomic.Bool
 }
 
+// canResume reports whether another upstream can go on after what was sent to the
+// caller. It is false for nil, which stands for a request that is not a stream.
+func (s *streaming) canResume() bool { return s != nil && !s.isUnmarked.Load() }
+
 // model returns the model to request from the upstream; empty for the caller's.
 func (s *streaming) model() string {
 	if s.cascade == nil {
@@ -210,7 +218,9 @@
 	s.cascade.decision = logrus.Fields{
 		"confidence": a.info.Confidence, "target": plan.Target, "remainingMs": plan.Remaining.Milliseconds(),
 	}
-	ok = ok && c.attempts < c.route.MaxAttempts && s.canEscalate(plan.Models[next]) && c.x.retryBudget.take(c.service, retryReserve)
+	ok = ok && s.canEscalate(plan.Models[next]) && retry.Decide(c.retryRequest(), retry.CauseEscalated, func() bool {
+		return c.x.retryBudget.take(c.service, retryReserve)
+	}) == retry.Allowed
 	if !ok {
 		return false // the decision is logged with the end of the request
 	}
@@ -268,7 +278,7 @@
 		if err != nil {
 			return err
 		}
-		a.idleTimer.Reset(s.idleTimeout(true))
+		a.idleTimer.Reset(s.idleTimeout(a, true))
 		a.sawEvent(time.Now())
 		if a.events == 1 {
 			c.reportBegun(a.first)
@@ -295,14 +305,17 @@
 		if id != "" {
 			s.last = id
 		}
+		if s.last == "" {
+			s.isUnmarked.Store(true)
+		}
 	}
 }
 
 // idleTimeout is the time to wait for the next event; without a possible retry,
 // the time to the deadline.
-func (s *streaming) idleTimeout(hasEvent bool) time.Duration {
+func (s *streaming) idleTimeout(a *attempt, hasEvent bool) time.Duration {
 	c := s.c
-	if c.attempts >= c.route.MaxAttempts || !c.route.IsRepeatable() {
+	if a.attempts >= c.route.MaxAttempts || !c.route.IsRepeatable() {
 		return c.remaining()
 	}
 	limit := time.Duration(float64(c.route.Target) * firstEventShare)
@@ -319,7 +332,16 @@
 	q := a.request
 	q.exclude = []jdaw.UpstreamID{a.reservation.ID}
 	_, hasPlace := c.x.picker.peek(time.Now(), c.x.cfg.Fleet.State(), q)
-	if hasPlace && c.x.abandonBudget.take(0) && c.x.retryBudget.take(c.service, 0) {
+	if !hasPlace {
+		return
+	}
+	// The state of the call belongs to its own goroutine; the attempt has a copy.
+	verdict := retry.Decide(retry.Request{
+		IsRepeatable: c.route.IsRepeatable(), MayHaveRun: true, IsCallerGone: c.r.Context().Err() != nil, Remaining: c.timeLeft(),
+		Attempts: a.attempts, MaxAttempts: c.route.MaxAttempts, Dispatches: a.dispatches,
+		HasBegun: !s.canResume(), CanContinue: s.canResume(),
+	}, retry.CauseAbandoned, func() bool { return c.x.abandonBudget.take(0) && c.x.retryBudget.take(c.service, 0) })
+	if verdict == retry.Allowed {
 		s.isPrepaid.Store(true)
 		a.isAbandoned.Store(true)
 		a.cancel()
