retry, relay, config: hedge late answers of safe routes within a share

Cause: the slowest answers of plain requests wait for one upstream that is late, while others could answer.

The first whole answer wins, the other attempt is cancelled and its connection closed. No hedge: unless the upstreams state their slowdown; in a roll-out; with over 0.7 of the slots in use; to cold, leaving, paused or ejected upstreams; beyond the operator's share, which each VM counts from its own requests, or beyond the retry budget. Metric relay_hedges; log lines "hedge sent" and "hedge ended". Streams are not hedged.

The test protocol of relay reads a slowdown, and startWith passes on to startConfigured; no existing test changed its checks.

--- a/config/relay.go
+++ b/config/relay.go
@@ -29,8 +29,17 @@
 	Exposure float64 `yaml:"exposure"`
 	// QualityTarget is the confidence, 0..1, that an answer of a cascade must
 	// reach.
-	QualityTarget float64     `yaml:"qualityTarget"`
-	Log           LogSettings `yaml:"log"`
+	QualityTarget float64         `yaml:"qualityTarget"`
+	Hedging       HedgingSettings `yaml:"hedging"`
+	Log           LogSettings     `yaml:"log"`
+}
+
+// HedgingSettings limit the requests for which a second upstream is asked before
+// the first has answered.
+type HedgingSettings struct {
+	// ExtraShare is the largest share of a service's plain requests that get a
+	// second upstream, 0..0.25; 0 for none.
+	ExtraShare float64 `yaml:"extraShare"`
 }
 
 // RelayAddresses are IP:port of what the process serves.
@@ -48,6 +57,7 @@
 const (
 	defaultDrainSeconds  = 8
 	defaultQualityTarget = 0.55
+	maxHedgeShare        = 0.25
 )
 
 // LoadRelaySettings reads and checks a settings file. The error lists every
@@ -115,6 +125,9 @@
 	if s.QualityTarget < 0 || s.QualityTarget > 1 {
 		c.fault("$.qualityTarget", "must be between 0 and 1")
 	}
+	if s.Hedging.ExtraShare < 0 || s.Hedging.ExtraShare > maxHedgeShare {
+		c.fault("$.hedging.extraShare", "must be between 0 and 0.25")
+	}
 	s.Log.check(c)
 }
 
--- a/gate/process.go
+++ b/gate/process.go
@@ -145,7 +145,7 @@
 	})
 	p.relay = relay.New(relay.Config{
 		Self: s.VM, Fleet: p.node, Protocol: cfg.Protocol, Pool: p.pool, Planner: p.casc, Learner: p.casc, Backlogs: p.loads, Poison: p.poison,
-		QualityTarget: s.QualityTarget, BodyMemory: bodyMemory(s.MemoryMB), Metrics: observed, Log: cfg.Log,
+		QualityTarget: s.QualityTarget, BodyMemory: bodyMemory(s.MemoryMB), HedgeShare: s.Hedging.ExtraShare, Metrics: observed, Log: cfg.Log,
 	})
 	close(ready)
 	return p, p.listen(metrics)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -54,6 +54,8 @@
 	// attempts and dispatches are those of the request with this one.
 	attempts   int
 	dispatches int
+	// send dispatches the request and sets the response.
+	send func() error
 }
 
 func (a *attempt) sawEvent(at time.Time) {
@@ -103,6 +105,20 @@
 
 // dispatch picks an upstream and sends the request to it.
 func (c *call) dispatch(model, resumeAfter string, limit time.Duration) (*attempt, error) {
+	a, err := c.reserve(model, resumeAfter, limit)
+	if err != nil {
+		return nil, err
+	}
+	a.idleTimer = time.AfterFunc(c.streaming.idleTimeout(a, false), func() { c.streaming.abandon(a) })
+	if err := a.send(); err != nil {
+		return a, err
+	}
+	c.notice(a)
+	return a, nil
+}
+
+// reserve picks an upstream for an attempt.
+func (c *call) reserve(model, resumeAfter string, limit time.Duration) (*attempt, error) {
 	st := c.x.cfg.Fleet.State()
 	at := time.Now()
 	if err := c.checkQuarantine(at); err != nil {
@@ -118,6 +134,11 @@
 	if !ok {
 		return nil, c.notRunError(jdaw.CodeNoUpstream, "no upstream of the service can take the request")
 	}
+	return c.newAttempt(at, q, res, model, resumeAfter, limit), nil
+}
+
+// newAttempt returns an attempt at a reserved upstream.
+func (c *call) newAttempt(at time.Time, q pickRequest, res reservation, model, resumeAfter string, limit time.Duration) *attempt {
 	c.dispatches++
 	c.upstream = res.ID
 	ctx, cancel := context.WithTimeout(c.ctx, limit)
@@ -145,20 +166,17 @@
 		}
 		return dial.OwnerOther
 	}
-	if c.streaming != nil {
-		a.idleTimer = time.AfterFunc(c.streaming.idleTimeout(a, false), func() { c.streaming.abandon(a) })
+	a.send = func() error {
+		response, err := c.x.cfg.Pool.Do(ctx, req)
+		a.response = response
+		return err
 	}
-	response, err := c.x.cfg.Pool.Do(ctx, req)
-	if err != nil {
-		return a, err
-	}
-	a.response = response
-	c.notice(a)
-	return a, nil
+	return a
 }
 
 // notice records and logs what the upstream says about itself in its response.
 func (c *call) notice(a *attempt) {
+	c.x.hedges.observe(c.service, a.info.Load)
 	for _, kind := range a.reservation.notice(time.Now(), a.info) {
 		c.x.cfg.Metrics.noticed(kind)
 		entry := c.x.cfg.Log.WithFields(logrus.Fields{
@@ -341,32 +359,21 @@
 func (c *call) plain() error {
 	c.x.retryBudget.refill(c.service)
 	for {
-		a, err := c.dispatch("", c.info.ResumeAfter, c.attemptLimit())
-		v, ended := c.classify(a, err)
-		var held []byte
-		if !ended || v.err == nil {
-			held, err = c.memory.readBody(a.response.Body, maxPlainAnswer)
-			if err != nil {
-				v, ended = c.unknownOutcome(a, "the response was truncated: "+err.Error()), true
-			}
-		}
-		if a != nil {
-			c.count(a, v)
-			c.logAttempt(a, v)
-			defer a.cancel()
-			a.end(v.outcome)
-			c.reportCrash(a, v)
+		a, err := c.reserve("", c.info.ResumeAfter, c.attemptLimit())
+		if err != nil {
+			return err
 		}
+		r, v, ended := c.attemptPlain(a)
 		if !ended {
 			c.reportAnswer(time.Now())
-			return c.writePlain(a.response, held)
+			return c.writePlain(r.a.response, r.body)
 		}
 		// A failure that an upstream answered is better than none.
 		if (v.err != nil || c.hasUpstream()) && c.canRetry(v, false) {
 			continue
 		}
 		if v.err == nil {
-			return c.writePlain(a.response, held)
+			return c.writePlain(r.a.response, r.body)
 		}
 		return v.err
 	}
--- a/relay/bucket.go
+++ b/relay/bucket.go
@@ -23,6 +23,13 @@
 	b.tokens = min(b.tokens+b.refillTokens, b.burst)
 }
 
+// put returns a token that was taken and not used.
+func (b *tokenBucket) put() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens++
+}
+
 // take takes one token if at least reserve tokens remain.
 func (b *tokenBucket) take(reserve float64) bool {
 	b.mu.Lock()
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -18,6 +18,7 @@
 	duration metric.Float64Histogram
 	notices  metric.Int64Counter
 	crashes  metric.Int64Counter
+	hedges   metric.Int64Counter
 }
 
 // NewMetrics creates the instruments.
@@ -37,7 +38,20 @@
 	}
 	crashes, err := m.Int64Counter("relay_crashed_requests",
 		metric.WithDescription("requests at an upstream whose process crashed before the end of their answer"))
-	return &Metrics{requests: requests, duration: duration, notices: notices, crashes: crashes}, errors.Wrap(err, "create relay_crashed_requests")
+	if err != nil {
+		return nil, errors.Wrap(err, "create relay_crashed_requests")
+	}
+	hedges, err := m.Int64Counter("relay_hedges", metric.WithDescription("hedges by service and result: sent, won, wasted"))
+	return &Metrics{
+		requests: requests, duration: duration, notices: notices, crashes: crashes, hedges: hedges,
+	}, errors.Wrap(err, "create relay_hedges")
+}
+
+// hedged counts a hedge when it is sent, and by its result when the request ends.
+func (m *Metrics) hedged(service string, result hedgeResult) {
+	if m != nil {
+		m.hedges.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("result", string(result))))
+	}
 }
 
 // crashed counts a request at an upstream that crashed.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,6 +52,9 @@
 	// BodyMemory bounds the bodies of all requests and responses that are held at
 	// once, in bytes; 0 takes the default.
 	BodyMemory int64
+	// HedgeShare is the share of a service's plain requests for which a second
+	// upstream may be asked before the first has answered; 0 for none.
+	HedgeShare float64
 	Metrics    *Metrics
 	Log        logrus.FieldLogger
 }
@@ -64,6 +67,7 @@
 	eventTimesByKind *eventTimesByKind
 	abandonBudget    *tokenBucket
 	prefillRates     *prefillRates
+	hedges           *hedges
 	memory           *memoryBudget
 	drainEnd         atomic.Pointer[time.Time] // nil until the VM is stopped
 	stopped          context.Context           // ends at drainEnd
@@ -77,6 +81,7 @@
 		stopped: stopped, stop: stop,
 		cfg: cfg, picker: newPicker(cfg.Self, cfg.Backlogs), retryBudget: newRetryBudget(), eventTimesByKind: newEventTimesByKind(),
 		abandonBudget: newAbandonBudget(), prefillRates: newPrefillRates(), memory: newMemoryBudget(cfg.BodyMemory),
+		hedges: newHedges(cfg.HedgeShare),
 	}
 }
 
@@ -118,6 +123,7 @@
 	// quarantineEnd is set if a part of the prompt is quarantined.
 	quarantineEnd time.Time
 	streaming     *streaming
+	hedgeSentAt   time.Time // zero if no hedge was sent
 }
 
 // ServeHTTP implements [http.Handler].
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -64,6 +64,9 @@
 	if n, err := strconv.Atoi(h.Get("Confidence")); err == nil {
 		a.Confidence = n
 	}
+	if f, err := strconv.ParseFloat(h.Get("Slowdown"), 64); err == nil {
+		a.Load.Slowdown = f
+	}
 	return a
 }
 
@@ -143,6 +146,12 @@
 
 // startWith serves a relay that reports crashes of upstreams to p.
 func startWith(t *testing.T, r config.Route, p relay.Poison, handlers ...http.HandlerFunc) (*deployment, string) {
+	t.Helper()
+	return startConfigured(t, r, relay.Config{Poison: p, BodyMemory: 32 << 20}, handlers...)
+}
+
+// startConfigured serves a relay with a configuration whose other fields it fills in.
+func startConfigured(t *testing.T, r config.Route, cfg relay.Config, handlers ...http.HandlerFunc) (*deployment, string) {
 	t.Helper()
 	table := config.RouteTable{Services: map[string]config.ServiceSpec{"s": {Name: "s"}}, HasKeys: true, Keys: map[string]config.KeyGrant{
 		"k": {Workspace: "w", Rank: -1},
@@ -175,9 +184,9 @@
 	d.log = logtest.NewLocal(log)
 	pool := dial.New(dial.Config{})
 	t.Cleanup(pool.Close)
-	d.relay = relay.New(relay.Config{
-		Self: "vm", Fleet: d, Protocol: protocol{}, Pool: pool, Planner: planner{}, Learner: planner{}, QualityTarget: 0.5, Log: log, BodyMemory: 32 << 20, Poison: p,
-	})
+	cfg.Self, cfg.Fleet, cfg.Protocol, cfg.Pool, cfg.Log = "vm", d, protocol{}, pool, log
+	cfg.Planner, cfg.Learner, cfg.QualityTarget = planner{}, planner{}, 0.5
+	d.relay = relay.New(cfg)
 	srv := httptest.NewServer(d.relay)
 	t.Cleanup(srv.Close)
 	return d, srv.URL
