events, relay, dial: explain shows both attempts of a hedged request

Cause: the lines of a hedge were listed as fields only; no test ended a request while two attempts ran, or cancelled one whose response had arrived.

Change: explain renders "hedge sent" and "hedge ended". Tests for the caller's end and the deadline with two hung attempts, and for the connection of a cancelled attempt, before and after its response was read.

--- a/dial/ended_test.go
+++ b/dial/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -30,3 +31,32 @@
 		}
 	}
 }
+
+// Guards against a cancelled attempt whose connection is used again, so that the
+// rest of its response, or a late copy, reaches another request.
+func TestCancelledConnectionIsNotReused(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for name, isRead := range map[string]bool{"after the whole response": true, "before its body is read": false} {
+		t.Run(name, func(t *testing.T) {
+			u := startUpstream(t, answer, answer)
+			p := dial.New(dial.Config{})
+			defer p.Close()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			a, err := p.Do(ctx, dial.Request{Address: u.addr, Method: http.MethodGet, Target: "/x", Host: "h"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if isRead {
+				if _, err := io.ReadAll(a.Body); err != nil {
+					t.Fatal(err)
+				}
+			}
+			cancel()
+			a.Close()
+			if got, err := u.do(t, p, dial.Request{}); err != nil || got != "ok" || u.accepted.Load() != 2 {
+				t.Errorf("got %q, %v on connection %d, want the second", got, err, u.accepted.Load())
+			}
+		})
+	}
+}
--- a/events/logs.go
+++ b/events/logs.go
@@ -198,6 +198,11 @@
 			f.text("attempt"), f.text("address"), f.text("version"), f.text("candidates"), f.text("inUse"), f.text("outcome"), f.text("tookMs"), f.text("revision"), next, attemptCause(f))
 	case "answer dropped for a larger model":
 		return describeStep(f) + ": the answer is dropped and a larger model is asked"
+	case "hedge sent":
+		return fmt.Sprintf("no answer from %s after %s ms, later than most (%s ms): %s at %s is asked as well",
+			f.text("first"), f.text("waitedMs"), f.text("delayMs"), f.text("upstream"), f.text("address"))
+	case "hedge ended":
+		return fmt.Sprintf("result of the second attempt, at %s: %s after %s ms", f.text("upstream"), f.text("result"), f.text("tookMs"))
 	case "request ended":
 		return describeEnd(l)
 	}
--- a/relay/hedge_test.go
+++ b/relay/hedge_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -272,3 +273,47 @@
 		sendUsual(t, base, id, 12)
 	}
 }
+
+// Guards against attempts that go on at their upstreams, or further ones that are
+// sent, after the caller has left or the deadline has passed while two run.
+func TestHedgeEndsWithItsRequest(t *testing.T) {
+	cases := map[string]struct {
+		timeout  time.Duration // of the route
+		patience time.Duration // of the caller
+		status   int
+	}{
+		"deadline":      {800 * time.Millisecond, 10 * time.Second, http.StatusGatewayTimeout},
+		"caller leaves": {10 * time.Second, 500 * time.Millisecond, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			u := &hedgedUpstreams{slowdown: "1.5"}
+			u.first, u.second = u.hang, u.hang
+			r := route(config.RouteSafe)
+			r.Timeout = c.timeout
+			d, base := startHedged(t, r, relay.Config{HedgeShare: 0.25}, u)
+			sendUsual(t, base, "learn", learnFrom)
+			ctx, cancel := context.WithTimeout(context.Background(), c.patience)
+			defer cancel()
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/a/x", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Host = "h.example"
+			req.Header.Set("Id", "slow")
+			req.Header.Set("Key", "k")
+			status := 0
+			if resp, err := http.DefaultClient.Do(req); err == nil {
+				status = resp.StatusCode
+				_ = resp.Body.Close()
+			}
+			if status != c.status {
+				t.Errorf("status %d, want %d", status, c.status)
+			}
+			eventually(t, "both attempts are cancelled", func() bool { return u.cancelled.Load() == 2 })
+			if n := d.arrivedWith("slow"); n != 2 {
+				t.Errorf("%d arrivals, want 2", n)
+			}
+		})
+	}
+}
