retry: larger steps while an estimate is new

Cause: the high quantile of a long tail started too low, so that hedges came early until some 200 answers were known.

Change: the steps of the first 30 answers are up to three times as large.

--- a/retry/latency.go
+++ b/retry/latency.go
@@ -8,6 +8,11 @@
 	// latencyStep is the relative step of both estimates per answer. The estimates
 	// follow a change within some dozens of answers and keep no history.
 	latencyStep = 0.08
+	// warmUpSamples is the number of answers over which the steps shrink to their
+	// final size, and warmUpStretch the largest factor. Without it, the quantile of
+	// a long tail is too low at first.
+	warmUpSamples = 30
+	warmUpStretch = 3
 	// minLatencySamples is the number of answers required for a delay: one in
 	// twenty is above the quantile.
 	minLatencySamples = 40
@@ -26,9 +31,10 @@
 	if l.samples == 0 {
 		return Latency{median: d, high: d, samples: 1}
 	}
+	size := latencyStep * min(max(warmUpSamples/float64(l.samples), 1), warmUpStretch)
 	return Latency{
-		median: step(l.median, d, latencyStep/2, latencyStep/2),
-		high:   step(l.high, d, latencyStep*hedgeQuantile, latencyStep*(1-hedgeQuantile)), samples: l.samples + 1,
+		median: step(l.median, d, size/2, size/2),
+		high:   step(l.high, d, size*hedgeQuantile, size*(1-hedgeQuantile)), samples: l.samples + 1,
 	}
 }
 
