--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -259,8 +259,8 @@
 	st := c.x.cfg.Fleet.State()
 	at := time.Now()
 	q := c.pickRequest(st, "", false)
-	q.exclude = append(append([]jdaw.UpstreamID(nil), c.exclude...), first.reservation.ID)
-	q.isHedge = true
+	unfit, occupancy := c.x.picker.hedgeRoom(at, st, q)
+	q.exclude = append(append(unfit, c.exclude...), first.reservation.ID)
 	if _, ok := c.x.picker.peek(at, st, q); !ok || c.checkQuarantine(at) != nil {
 		return nil
 	}
@@ -270,7 +270,7 @@
 	request.Attempts, request.MayHaveRun = first.attempts, true
 	verdict := retry.DecideHedge(request, retry.Hedge{
 		Elapsed: at.Sub(first.sentAt), Latency: latency, IsHedged: c.hedgeSentAt != (time.Time{}), IsStated: service != nil,
-		IsInRollout: isInRollout, Occupancy: max(stated, c.x.picker.occupancy(at, st, q)),
+		IsInRollout: isInRollout, Occupancy: max(stated, occupancy),
 	}, func() bool { return c.takeHedge(service) })
 	if verdict != retry.Allowed {
 		c.x.cfg.Log.WithFields(logrus.Fields{"request": c.info.ID, "service": c.service, "verdict": verdict}).Debug("no hedge")
@@ -284,7 +284,7 @@
 	c.x.cfg.Metrics.hedged(c.service, hedgeSent)
 	c.x.cfg.Log.WithFields(logrus.Fields{
 		"request": c.info.ID, "service": c.service, "first": first.reservation.ID, "upstream": res.ID, "address": res.Address,
-		"waitedMs": at.Sub(first.sentAt).Milliseconds(), "delayMs": latency.Delay().Milliseconds(), "occupancy": stated,
+		"waitedMs": at.Sub(first.sentAt).Milliseconds(), "delayMs": latency.Delay().Milliseconds(), "occupancy": max(stated, occupancy),
 	}).Info("hedge sent")
 	return c.newAttempt(at, q, res, "", c.info.ResumeAfter, c.remaining())
 }
@@ -317,10 +317,11 @@
 	}).Info("hedge ended")
 }
 
-// occupancy returns the share of slots in use at the upstreams that could take the
-// request, from the requests of all VMs as far as they are known. An upstream that
-// has just rejected or failed requests counts as full.
-func (p *picker) occupancy(at time.Time, st *fleet.State, q pickRequest) float64 {
+// hedgeRoom returns the upstreams that must get no hedge, because they are cold,
+// ejected, outliers or have no free slot, and the share of slots in use at all that
+// serve the request. It counts the requests of all VMs as far as they are known. An
+// upstream that has just rejected or failed requests counts as full.
+func (p *picker) hedgeRoom(at time.Time, st *fleet.State, q pickRequest) (unfit []jdaw.UpstreamID, occupancy float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var others jdaw.Backlog
@@ -336,15 +337,18 @@
 		}
 		s := p.stateOf(u)
 		n := max(u.Slots, 1)
-		slots += n
-		if at.Before(s.ejectedUntil) || s.notices.forbidsRequests(at) {
-			busy += n
-			continue
+		used := min(s.inUse+int(others[s.key].Running), n)
+		if at.Before(s.ejectedUntil) || at.Before(s.replacedUntil) || s.notices.forbidsRequests(at) {
+			used = n
 		}
-		busy += min(s.inUse+int(others[s.key].Running), n)
+		if used == n || p.isCold(at, u, s) || p.isOutlier(s.key) {
+			unfit = append(unfit, u.ID)
+		}
+		busy += used
+		slots += n
 	}
 	if slots == 0 {
-		return 1
+		return unfit, 1
 	}
-	return float64(busy) / float64(slots)
+	return unfit, float64(busy) / float64(slots)
 }
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -140,9 +140,6 @@
 	exclude     []jdaw.UpstreamID
 	work        promptWork
 	isEscalated bool // an escalation
-	// isHedge restricts the pick to upstreams that are warm, not ejected and have a
-	// free slot.
-	isHedge bool
 }
 
 // reprefillTokens is the penalty of upstreams that haven't cached the shared prefix.
@@ -186,7 +183,7 @@
 	defer p.mu.Unlock()
 	spec := st.Table.Services[q.service]
 	for _, strict := range []bool{true, false} {
-		p.collect(at, st, spec, q, strict || q.isHedge)
+		p.collect(at, st, spec, q, strict)
 		i := p.chooser.Choose(q.prefix, p.candidates)
 		if i < 0 {
 			continue
@@ -259,7 +256,7 @@
 		if s.notices.forbidsRequests(at) || at.Before(s.replacedUntil) || strict && (at.Before(s.ejectedUntil) || p.isOutlier(s.key)) {
 			continue
 		}
-		if p.isCold(at, u, s) && (q.isHedge || !p.mayUseCold(at, st, spec, u, s)) || q.isHedge && s.inUse >= max(u.Slots, 1) {
+		if p.isCold(at, u, s) && !p.mayUseCold(at, st, spec, u, s) {
 			continue
 		}
 		hash := xxhash.Sum64String(string(u.ID))
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -64,8 +64,8 @@
 	if n, err := strconv.Atoi(h.Get("Confidence")); err == nil {
 		a.Confidence = n
 	}
-	if f, err := strconv.ParseFloat(h.Get("Slowdown"), 64); err == nil {
-		a.Load.Slowdown = f
+	if slowdown, err := strconv.ParseFloat(h.Get("Slowdown"), 64); err == nil {
+		a.Load = jdaw.LoadReport{Running: 1, Slots: 4, Slowdown: slowdown}
 	}
 	return a
 }
