--- a/config/relay.go
+++ b/config/relay.go
@@ -32,13 +32,22 @@
 	QualityTarget float64 `yaml:"qualityTarget"`
 	// RankEscalations lets escalations of the most urgent routes go before those
 	// of all others at upstreams, whatever the length of their prompts.
-	RankEscalations bool `yaml:"rankEscalations"`
+	RankEscalations bool            `yaml:"rankEscalations"`
+	Hedging         HedgingSettings `yaml:"hedging"`
 	// Terms are the platform's names of what it demands of a deployment. Its
 	// adapter switches on the settings that they call for.
 	Terms []string    `yaml:"terms"`
 	Log   LogSettings `yaml:"log"`
 }
 
+// HedgingSettings limit the requests for which a second upstream is asked before
+// the first has answered.
+type HedgingSettings struct {
+	// ExtraShare is the largest share of a service's plain requests that get a
+	// second upstream, 0..0.25; 0 for none.
+	ExtraShare float64 `yaml:"extraShare"`
+}
+
 // RelayAddresses are IP:port of what the process serves.
 type RelayAddresses struct {
 	Callers   string `yaml:"callers"`
@@ -54,6 +63,7 @@
 const (
 	defaultDrainSeconds  = 8
 	defaultQualityTarget = 0.55
+	maxHedgeShare        = 0.25
 )
 
 // LoadRelaySettings reads and checks a settings file. The error lists every
@@ -121,6 +131,9 @@
 	if s.QualityTarget < 0 || s.QualityTarget > 1 {
 		c.fault("$.qualityTarget", "must be between 0 and 1")
 	}
+	if s.Hedging.ExtraShare < 0 || s.Hedging.ExtraShare > maxHedgeShare {
+		c.fault("$.hedging.extraShare", "must be between 0 and 0.25")
+	}
 	s.Log.check(c)
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -18,12 +18,10 @@
 	"jackdawbarrow/dial"
 	"jackdawbarrow/fleet"
 	"jackdawbarrow/guard"
+	"jackdawbarrow/retry"
 )
 
 const (
-	// maxDispatches limits the dispatches of one request, including those to
-	// upstreams that could not be connected to.
-	maxDispatches = 5
 	// unsafeIdle is the longest idle time of a connection that is reused for a
 	// non-idempotent request.
 	unsafeIdle = 700 * time.Millisecond
@@ -53,6 +51,11 @@
 	// idleTimer abandons the attempt; nil for plain responses.
 	idleTimer   *time.Timer
 	isAbandoned atomic.Bool
+	// attempts and dispatches are those of the request with this one.
+	attempts   int
+	dispatches int
+	// send dispatches the request and sets the response.
+	send func() error
 }
 
 func (a *attempt) sawEvent(at time.Time) {
@@ -104,6 +107,20 @@
 
 // dispatch picks an upstream and sends the request to it.
 func (c *call) dispatch(model, resumeAfter string, limit time.Duration) (*attempt, error) {
+	a, err := c.reserve(model, resumeAfter, limit)
+	if err != nil {
+		return nil, err
+	}
+	a.idleTimer = time.AfterFunc(c.streaming.idleTimeout(a, false), func() { c.streaming.abandon(a) })
+	if err := a.send(); err != nil {
+		return a, err
+	}
+	c.notice(a)
+	return a, nil
+}
+
+// reserve picks an upstream for an attempt.
+func (c *call) reserve(model, resumeAfter string, limit time.Duration) (*attempt, error) {
 	st := c.x.cfg.Fleet.State()
 	at := time.Now()
 	if err := c.checkQuarantine(at); err != nil {
@@ -119,6 +136,11 @@
 	if !ok {
 		return nil, c.notRunError(jdaw.CodeNoUpstream, "no upstream of the service can take the request")
 	}
+	return c.newAttempt(at, q, res, model, resumeAfter, limit), nil
+}
+
+// newAttempt returns an attempt at a reserved upstream.
+func (c *call) newAttempt(at time.Time, q pickRequest, res reservation, model, resumeAfter string, limit time.Duration) *attempt {
 	c.dispatches++
 	c.upstream = res.ID
 	ctx, cancel := context.WithTimeout(c.ctx, limit)
@@ -135,7 +157,7 @@
 	if !c.route.IsRepeatable() {
 		req.MaxIdle = unsafeIdle
 	}
-	a := &attempt{request: q, reservation: res, cancel: cancel, sentAt: at}
+	a := &attempt{request: q, reservation: res, cancel: cancel, sentAt: at, attempts: c.attempts + 1, dispatches: c.dispatches}
 	req.Owner = func(status int, h http.Header) dial.Owner {
 		a.info = c.x.cfg.Protocol.ReadAnswer(status, h)
 		switch a.info.RequestID {
@@ -146,20 +168,17 @@
 		}
 		return dial.OwnerOther
 	}
-	if c.streaming != nil {
-		a.idleTimer = time.AfterFunc(c.streaming.idleTimeout(false), func() { c.streaming.abandon(a) })
-	}
-	response, err := c.x.cfg.Pool.Do(ctx, req)
-	if err != nil {
-		return a, err
+	a.send = func() error {
+		response, err := c.x.cfg.Pool.Do(ctx, req)
+		a.response = response
+		return err
 	}
-	a.response = response
-	c.notice(a)
-	return a, nil
+	return a
 }
 
 // notice records and logs what the upstream says about itself in its response.
 func (c *call) notice(a *attempt) {
+	c.x.hedges.observe(c.service, a.info.Load)
 	for _, kind := range a.reservation.notice(time.Now(), a.info) {
 		c.x.cfg.Metrics.noticed(kind)
 		entry := c.x.cfg.Log.WithFields(logrus.Fields{
@@ -233,6 +252,11 @@
 		return attemptResult{outcome: outcomeNeutral, err: err}, true
 	case err != nil && c.r.Context().Err() != nil:
 		return attemptResult{outcome: outcomeNeutral, err: errCallerGone}, true
+	case err != nil && !dial.WasSent(err) && c.ctx.Err() != nil:
+		// The deadline ended the attempt, which says nothing about the upstream.
+		return attemptResult{
+			outcome: outcomeNeutral, err: c.notRunError(jdaw.CodeUpstreamRefused, "no upstream could be reached before the deadline"),
+		}, true
 	case err != nil && !dial.WasSent(err):
 		if contains(c.exclude, a.reservation.ID) {
 			c.unreachable = append(c.unreachable, a.reservation.ID)
@@ -293,15 +317,37 @@
 	return jdaw.Fail(code, format, args...)
 }
 
-// canRetry reports whether a retry is within all limits.
-func (c *call) canRetry(v attemptResult) bool {
-	if !v.mayRetry || c.ctx.Err() != nil || c.dispatches >= maxDispatches || c.attempts >= max(c.route.MaxAttempts, 1) {
-		return false
+// canRetry reports whether a retry is within all limits. isPaid is set if it was
+// taken from the retry budget before.
+func (c *call) canRetry(v attemptResult, isPaid bool) bool {
+	cause := retry.CauseFailed
+	switch v.outcome {
+	case outcomeUnreachable:
+		cause = retry.CauseUnreachable
+	case outcomeShed, outcomeReplaced:
+		cause = retry.CauseRefused
+	}
+	return v.mayRetry && retry.Decide(c.retryRequest(), cause, func() bool {
+		return isPaid || c.x.retryBudget.take(c.service, 0)
+	}) == retry.Allowed
+}
+
+// retryRequest returns the state of the request between two attempts.
+func (c *call) retryRequest() retry.Request {
+	return retry.Request{
+		IsRepeatable: c.route.IsRepeatable(), MayHaveRun: c.mayHaveRun, IsCallerGone: c.r.Context().Err() != nil,
+		Remaining: c.timeLeft(), Attempts: c.attempts, MaxAttempts: c.route.MaxAttempts, Dispatches: c.dispatches,
+		HasBegun: c.isStarted, CanContinue: c.streaming.canResume(),
 	}
-	if v.outcome == outcomeUnreachable {
-		return true // the upstream got nothing, so it needs no budget
+}
+
+// timeLeft returns the time until another attempt is pointless; 0 at the deadline
+// and when a stopping VM ends its requests.
+func (c *call) timeLeft() time.Duration {
+	if c.ctx.Err() != nil {
+		return 0
 	}
-	return c.x.retryBudget.take(c.service, 0)
+	return c.remaining()
 }
 
 // attemptLimit returns the time for one attempt.
@@ -317,32 +363,21 @@
 func (c *call) plain() error {
 	c.x.retryBudget.refill(c.service)
 	for {
-		a, err := c.dispatch("", c.info.ResumeAfter, c.attemptLimit())
-		v, ended := c.classify(a, err)
-		var held []byte
-		if !ended || v.err == nil {
-			held, err = c.memory.readBody(a.response.Body, maxPlainAnswer)
-			if err != nil {
-				v, ended = c.unknownOutcome(a, "the response was truncated: "+err.Error()), true
-			}
-		}
-		if a != nil {
-			c.count(a, v)
-			c.logAttempt(a, v)
-			defer a.cancel()
-			a.end(v.outcome)
-			c.reportCrash(a, v)
+		a, err := c.reserve("", c.info.ResumeAfter, c.attemptLimit())
+		if err != nil {
+			return err
 		}
+		r, v, ended := c.attemptPlain(a)
 		if !ended {
 			c.reportAnswer(time.Now())
-			return c.writePlain(a.response, held)
+			return c.writePlain(r.a.response, r.body)
 		}
 		// A failure that an upstream answered is better than none.
-		if (v.err != nil || c.hasUpstream()) && c.canRetry(v) {
+		if (v.err != nil || c.hasUpstream()) && c.canRetry(v, false) {
 			continue
 		}
 		if v.err == nil {
-			return c.writePlain(a.response, held)
+			return c.writePlain(r.a.response, r.body)
 		}
 		return v.err
 	}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -20,6 +20,7 @@
 	crashes  metric.Int64Counter
 	speed    metric.Float64Gauge
 	slowdown metric.Float64Gauge
+	hedges   metric.Int64Counter
 }
 
 // NewMetrics creates the instruments.
@@ -49,9 +50,13 @@
 	}
 	slowdown, err := m.Float64Gauge("relay_upstream_slowdown",
 		metric.WithDescription("largest slowdown that an upstream of a service stated lately, 1 for none"))
+	if err != nil {
+		return nil, errors.Wrap(err, "create relay_upstream_slowdown")
+	}
+	hedges, err := m.Int64Counter("relay_hedges", metric.WithDescription("hedges by service and result: sent, won, wasted"))
 	return &Metrics{
-		requests: requests, duration: duration, notices: notices, crashes: crashes, speed: speed, slowdown: slowdown,
-	}, errors.Wrap(err, "create relay_upstream_slowdown")
+		requests: requests, duration: duration, notices: notices, crashes: crashes, speed: speed, slowdown: slowdown, hedges: hedges,
+	}, errors.Wrap(err, "create relay_hedges")
 }
 
 // speeds records the speeds of the upstreams of a service.
@@ -65,6 +70,13 @@
 	m.slowdown.Record(ctx, v.maxSlowdown, metric.WithAttributes(name))
 }
 
+// hedged counts a hedge when it is sent, and by its result when the request ends.
+func (m *Metrics) hedged(service string, result hedgeResult) {
+	if m != nil {
+		m.hedges.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("result", string(result))))
+	}
+}
+
 // crashed counts a request at an upstream that crashed.
 func (m *Metrics) crashed() {
 	if m != nil {
