relay, pace: write candidates in place, draw with cached weights

Cause: each candidate was built and copied, times that were never set were compared, and the weights of the draws were computed three times. Change: as the title says; no decision changes.

--- a/pace/estimate.go
+++ b/pace/estimate.go
@@ -75,6 +75,8 @@
 	Slots        int
 	// IsFree is false if the upstream must not be chosen.
 	IsFree bool
+
+	weight float64 // probability of a draw, up to a factor
 }
 
 // crowding is the expected extra time at an upstream with all slots busy, as a
@@ -87,14 +89,6 @@
 	return (1 + queueTime(o.InFlight, o.Slots) + crowding*o.InFlight/float64(max(o.Slots, 1))) * o.RelativeTime
 }
 
-// weight is the probability of a draw, up to a factor.
-func (o Option) weight() float64 {
-	if !o.IsFree {
-		return 0
-	}
-	return float64(max(o.Slots, 1)) / o.RelativeTime
-}
-
 // Choose returns the index of an upstream for a plain request, or -1 if none is
 // free. It draws two upstreams in proportion to their speeds and takes the one
 // with the shorter expected time. Other VMs hold the same reports: if all took
@@ -102,7 +96,12 @@
 func Choose(draw uint64, options []Option) int {
 	total := 0.0
 	for i := range options {
-		total += options[i].weight()
+		o := &options[i]
+		o.weight = 0
+		if o.IsFree {
+			o.weight = float64(max(o.Slots, 1)) / o.RelativeTime
+		}
+		total += o.weight
 	}
 	if total <= 0 {
 		return -1
@@ -119,7 +118,7 @@
 func drawn(point float64, options []Option) int {
 	last := -1
 	for i := range options {
-		w := options[i].weight()
+		w := options[i].weight
 		if w <= 0 {
 			continue
 		}
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -267,12 +267,12 @@
 		options  []Option
 		min, max []float64 // shares
 	}{
-		"equal":          {[]Option{{1, 0, 6, true}, {1, 0, 6, true}}, []float64{0.4, 0.4}, []float64{0.6, 0.6}},
-		"one faster":     {[]Option{{1 / 0.7, 0, 6, true}, {1 / 0.7, 0, 6, true}, {1 / 1.7, 0, 6, true}}, []float64{0.02, 0.02, 0.55}, []float64{0.25, 0.25, 0.9}},
-		"the fast busy":  {[]Option{{1 / 0.7, 0, 6, true}, {1 / 0.7, 0, 6, true}, {1 / 1.7, 18, 6, true}}, []float64{0.2, 0.2, 0.2}, []float64{0.5, 0.5, 0.4}},
-		"one seems idle": {[]Option{{1, 6, 6, true}, {1, 6, 6, true}, {1, 0, 6, true}}, []float64{0.1, 0.1, 0.4}, []float64{0.4, 0.4, 0.7}},
-		"one not free":   {[]Option{{1, 0, 6, false}, {1, 9, 6, true}}, []float64{0, 1}, []float64{0, 1}},
-		"no slots known": {[]Option{{1, 0, 0, true}}, []float64{1}, []float64{1}},
+		"equal":          {[]Option{{1, 0, 6, true, 0}, {1, 0, 6, true, 0}}, []float64{0.4, 0.4}, []float64{0.6, 0.6}},
+		"one faster":     {[]Option{{1 / 0.7, 0, 6, true, 0}, {1 / 0.7, 0, 6, true, 0}, {1 / 1.7, 0, 6, true, 0}}, []float64{0.02, 0.02, 0.55}, []float64{0.25, 0.25, 0.9}},
+		"the fast busy":  {[]Option{{1 / 0.7, 0, 6, true, 0}, {1 / 0.7, 0, 6, true, 0}, {1 / 1.7, 18, 6, true, 0}}, []float64{0.2, 0.2, 0.2}, []float64{0.5, 0.5, 0.4}},
+		"one seems idle": {[]Option{{1, 6, 6, true, 0}, {1, 6, 6, true, 0}, {1, 0, 6, true, 0}}, []float64{0.1, 0.1, 0.4}, []float64{0.4, 0.4, 0.7}},
+		"one not free":   {[]Option{{1, 0, 6, false, 0}, {1, 9, 6, true, 0}}, []float64{0, 1}, []float64{0, 1}},
+		"no slots known": {[]Option{{1, 0, 0, true, 0}}, []float64{1}, []float64{1}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/pace/upstream.go
+++ b/pace/upstream.go
@@ -27,12 +27,12 @@
 // upstream. Its service has to state slowdowns; see [Service.Reports].
 type Upstream struct {
 	service *Service
-	// base is the base speed with the samples of baseOthers, 0 if the samples of
-	// this VM have changed since. baseTime is its reciprocal.
-	base, baseTime float64
-	baseOthers     [2]uint32
-	slowUntil      time.Time // when the stated slowdown is over
-	excess         float64   // stated slowdown above 1
+	// base is the base speed with the samples othersTimed and othersSpeed of other
+	// VMs, 0 if those of this VM have changed since. baseTime is its reciprocal.
+	base, baseTime           float64
+	othersTimed, othersSpeed uint32
+	slowUntil                time.Time // when the stated slowdown is over
+	excess                   float64   // stated slowdown above 1
 	// timed and speed are the decayed number of samples and the sum of their
 	// speeds.
 	timed, speed float64
@@ -102,12 +102,12 @@
 // Base returns the base speed relative to the other upstreams of the service.
 // others are the samples of other VMs.
 func (u *Upstream) Base(others jdaw.UpstreamLoad) float64 {
-	if known := [2]uint32{others.Timed, others.Speed}; u.base == 0 || u.baseOthers != known {
+	if u.base == 0 || u.othersTimed != others.Timed || u.othersSpeed != others.Speed {
 		cfg := &u.service.cfg
 		timed := u.timed + float64(others.Timed)/jdaw.OutcomeUnit
 		speed := u.speed + float64(others.Speed)/jdaw.OutcomeUnit
-		u.base, u.baseOthers = min(max((cfg.PriorSamples+speed)/(cfg.PriorSamples+timed), cfg.MinSpeed), cfg.MaxSpeed), known
-		u.baseTime = 1 / u.base
+		u.base = min(max((cfg.PriorSamples+speed)/(cfg.PriorSamples+timed), cfg.MinSpeed), cfg.MaxSpeed)
+		u.baseTime, u.othersTimed, u.othersSpeed = 1/u.base, others.Timed, others.Speed
 	}
 	return u.base
 }
@@ -142,8 +142,11 @@
 // InFlight returns the number of requests at the upstream, given the number that
 // VMs counted. The latest report replaces the count while it is fresh.
 func (u *Upstream) InFlight(at time.Time, counted int) float64 {
+	if !u.report.IsKnown() {
+		return float64(counted)
+	}
 	age := at.Sub(u.reportAt)
-	if !u.report.IsKnown() || age >= u.service.cfg.ReportTime {
+	if age >= u.service.cfg.ReportTime {
 		return float64(counted)
 	}
 	weight := 1 - float64(max(age, 0))/float64(u.service.cfg.ReportTime)
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -62,7 +62,7 @@
 // restrict notes that a restriction of the upstream may last until a time.
 func (s *upstreamState) restrict(until time.Time) {
 	if until.After(s.restrictedUntil) {
-		s.restrictedUntil = until
+		s.restrictedUntil, s.isRestricted = until, true
 	}
 }
 
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -78,6 +79,7 @@
 	// restrictedUntil is not before the end of any notice, ejection or cold time
 	// that this VM learned of: it is the only one to check of most upstreams.
 	restrictedUntil time.Time
+	isRestricted    bool // restrictedUntil was set
 	pace            pace.Upstream
 
 	service       string
@@ -268,7 +270,7 @@
 // collect fills the candidates. Ejected upstreams and outliers are included
 // only if not strict.
 func (p *picker) collect(at time.Time, st *fleet.State, spec config.ServiceSpec, q pickRequest, strict bool) {
-	candidates, matches, relativeTimes := p.candidates[:0], p.matches[:0], p.relativeTimes[:0]
+	candidates, matches, relativeTimes := slices.Grow(p.candidates[:0], len(st.Upstreams[q.service])), p.matches[:0], p.relativeTimes[:0]
 	p.options = p.options[:0]
 	p.hasReports = p.services[q.service].Reports(at)
 	others := p.othersAt(q, p.hasReports)
@@ -277,7 +279,7 @@
 		outliers = p.backlogs.Outliers()
 	}
 	isPlain, reprefill := q.isPlain(), q.reprefillTokens()
-	states := p.statesOf(st, q.service)
+	states, hasReports := p.statesOf(st, q.service), p.hasReports
 	list := st.Upstreams[q.service]
 	version, isWanted := "", st.WantsVersion(q.service, "", q.sample)
 	for i := range list {
@@ -292,14 +294,14 @@
 		if !isWanted || !isInService(st, u) || len(q.exclude) > 0 && contains(q.exclude, u.ID) || len(outliers) > 0 && outliers[s.key] {
 			continue
 		}
-		isRestricted := at.Before(s.restrictedUntil)
+		isRestricted := s.isRestricted && at.Before(s.restrictedUntil)
 		if isRestricted && (s.notices.forbidsRequests(at) || at.Before(s.replacedUntil) || strict && at.Before(s.ejectedUntil)) {
 			continue
 		}
-		if (isRestricted || u.IsCold(at)) && p.isCold(at, u, s) && !p.mayUseCold(at, st, spec, u, s) {
+		if (isRestricted || !u.ColdUntil.IsZero()) && p.isCold(at, u, s) && !p.mayUseCold(at, st, spec, u, s) {
 			continue
 		}
-		if p.hasReports && strict && isPlain && s.pace.IsFull(at) {
+		if hasReports && strict && isPlain && s.pace.IsFull(at) {
 			continue
 		}
 		var load jdaw.UpstreamLoad
@@ -308,9 +310,9 @@
 		}
 		relative := 1.0
 		switch {
-		case p.hasReports && isPlain:
+		case hasReports && isPlain:
 			relative = s.pace.RelativeTime(at, load)
-		case p.hasReports:
+		case hasReports:
 			relative = s.pace.BaseTime(load) // a prompt outlasts a slowdown
 		}
 		hash := s.hash
@@ -319,19 +321,24 @@
 			hash ^= q.salt
 		}
 		matches = append(matches, u)
-		candidates = append(candidates, route.Candidate{
-			Hash: hash, InUse: s.inUse, Limit: max(u.Slots, 1) * queueFactor, Usable: true,
-			Work: (s.ahead(load, q.isEscalated) + q.work.own + reprefill) * relative,
-		})
+		// Written in place, since a copy of each candidate would cost a tenth of a
+		// decision.
+		candidates = candidates[:len(candidates)+1]
+		c := &candidates[len(candidates)-1]
+		c.Hash, c.InUse, c.Limit, c.Usable = hash, s.inUse, max(u.Slots, 1)*queueFactor, true
+		c.Work = (s.ahead(load, q.isEscalated) + q.work.own + reprefill) * relative
 		relativeTimes = append(relativeTimes, relative)
-		if p.hasReports && isPlain {
+		if hasReports && isPlain {
 			p.options = append(p.options, pace.Option{
-				RelativeTime: relative, InFlight: s.inFlight(at, load), Slots: u.Slots, IsFree: candidates[len(candidates)-1].IsFree(),
+				RelativeTime: relative, InFlight: s.inFlight(at, load), Slots: u.Slots, IsFree: c.IsFree(),
 			})
 		}
 	}
 	p.candidates, p.matches, p.relativeTimes = candidates, matches, relativeTimes
-	p.affinity = route.TopRanked(q.prefix, p.candidates)
+	p.affinity = -1
+	if !hasReports || !isPlain {
+		p.affinity = route.TopRanked(q.prefix, p.candidates)
+	}
 	if p.affinity >= 0 {
 		p.candidates[p.affinity].Work -= reprefill * p.relativeTimes[p.affinity]
 	}
