queue: fair shares of scarce slots, and refusing early

Cause: 66 to 91 VMs share 3 or 4 upstreams of 6 slots. Nothing ordered or refused plain requests before an upstream had them, and one workspace could take all slots. Change: package queue decides at the VM, from requests in flight and demand by workspace that VMs exchange in loads. On for services whose upstreams state their slowdown.

--- a/config/relay.go
+++ b/config/relay.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"time"
 
@@ -29,8 +30,11 @@
 	Exposure float64 `yaml:"exposure"`
 	// QualityTarget is the confidence, 0..1, that an answer of a cascade must
 	// reach.
-	QualityTarget float64     `yaml:"qualityTarget"`
-	Log           LogSettings `yaml:"log"`
+	QualityTarget float64 `yaml:"qualityTarget"`
+	// MaxWaiting is the number of requests that may wait at this VM for the slots of
+	// one plain service; 0 takes the default.
+	MaxWaiting int         `yaml:"maxWaiting"`
+	Log        LogSettings `yaml:"log"`
 }
 
 // RelayAddresses are IP:port of what the process serves.
@@ -50,6 +54,9 @@
 	defaultQualityTarget = 0.55
 )
 
+// maxMaxWaiting bounds the memory and the processor time that waiting requests take.
+const maxMaxWaiting = 4096
+
 // LoadRelaySettings reads and checks a settings file. The error lists every
 // fault with file, line and field.
 func LoadRelaySettings(file string) (RelaySettings, error) {
@@ -115,6 +122,9 @@
 	if s.QualityTarget < 0 || s.QualityTarget > 1 {
 		c.fault("$.qualityTarget", "must be between 0 and 1")
 	}
+	if s.MaxWaiting < 0 || s.MaxWaiting > maxMaxWaiting {
+		c.fault("$.maxWaiting", fmt.Sprintf("must be between 0 and %d", maxMaxWaiting))
+	}
 	s.Log.check(c)
 }
 
--- a/gate/process.go
+++ b/gate/process.go
@@ -142,10 +142,14 @@
 			<-ready
 			return p.relay.Backlog()
 		},
+		Demand: func() jdaw.Demand {
+			<-ready
+			return p.relay.Demand()
+		},
 	})
 	p.relay = relay.New(relay.Config{
-		Self: s.VM, Fleet: p.node, Protocol: cfg.Protocol, Pool: p.pool, Planner: p.casc, Learner: p.casc, Backlogs: p.loads, Poison: p.poison,
-		QualityTarget: s.QualityTarget, BodyMemory: bodyMemory(s.MemoryMB), Metrics: observed, Log: cfg.Log,
+		Self: s.VM, Fleet: p.node, Protocol: cfg.Protocol, Pool: p.pool, Planner: p.casc, Learner: p.casc, Backlogs: p.loads, Demand: p.loads.OthersDemand, Poison: p.poison,
+		QualityTarget: s.QualityTarget, BodyMemory: bodyMemory(s.MemoryMB), MaxWaiting: s.MaxWaiting, Metrics: observed, Log: cfg.Log,
 	})
 	close(ready)
 	return p, p.listen(metrics)
--- a/loads/node.go
+++ b/loads/node.go
@@ -37,6 +37,8 @@
 	Self  fleet.Member
 	State func() *fleet.State
 	Own   func() jdaw.Backlog // of this VM
+	// Demand returns the demand of this VM's callers; nil sends none.
+	Demand func() jdaw.Demand
 	// Poison holds the evidence against prompt parts that crash upstreams.
 	Poison *poison.Detector
 	// Quarantine writes a quarantine to the store. It doesn't block.
@@ -50,6 +52,7 @@
 	cfg        Config
 	conns      *peers.Connections
 	lastReport atomic.Pointer[fleetReport]
+	demands    *demandTable
 	ctx        context.Context
 	cancel     context.CancelFunc
 	wg         conc.WaitGroup
@@ -72,7 +75,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg: cfg, conns: peers.NewConnections(), ctx: ctx, cancel: cancel,
-		table: newTable(), avoided: map[jdaw.VMID]time.Time{},
+		table: newTable(), demands: newDemandTable(cfg.Self.DataCentre, cfg.Demand), avoided: map[jdaw.VMID]time.Time{},
 	}
 	n.wg.Go(func() {
 		for n.ctx.Err() == nil {
@@ -227,6 +230,7 @@
 	found := outliers(st, total)
 	n.logOutliers(st, found, total)
 	n.lastReport.Store(&fleetReport{others: others, outliers: found, at: now})
+	n.demands.summed(now)
 }
 
 // logOutliers logs the upstreams that became outliers and those that no longer
@@ -259,6 +263,7 @@
 			Vm: string(n.cfg.Self.VM), DataCentre: string(n.cfg.Self.DataCentre), Own: encode(backlog),
 			Evidence:    encodeEvidence(now, n.cfg.Poison.Evidence(now, answersFor(period))),
 			Quarantined: encodeKeys(n.cfg.Poison.Keys(now)),
+			Demand:      n.demands.outgoing(now, aggregator.DataCentre),
 		})
 	}
 	if err != nil {
@@ -268,6 +273,7 @@
 		}
 		return nil
 	}
+	n.demands.answered(time.Now(), aggregator.DataCentre, reply.GetDemand())
 	return reply
 }
 
@@ -281,6 +287,7 @@
 	dc := jdaw.DataCentre(q.GetDataCentre())
 	n.cfg.Poison.Merge(now, decodeEvidence(now, q.GetEvidence()), dc == n.cfg.Self.DataCentre)
 	n.cfg.Poison.Report(now, decodeKeys(q.GetQuarantined()))
+	demand := n.demands.received(now, q)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if dc != n.cfg.Self.DataCentre {
@@ -288,11 +295,13 @@
 		evidence := n.cfg.Poison.Evidence(now, answersFor(n.period()))
 		return &wire.ExchangeBacklogReply{
 			Others: encode(n.table.own(now, own)), Evidence: encodeEvidence(now, evidence), Quarantined: encodeKeys(n.cfg.Poison.Keys(now)),
+			Demand: demand,
 		}, nil
 	}
 	reply := &wire.ExchangeBacklogReply{
 		Others:      encodeTokens(n.table.updateVM(now, jdaw.VMID(q.GetVm()), backlog, own)),
 		Quarantined: encodeKeys(n.cfg.Poison.AllKeys(now)),
+		Demand:      demand,
 	}
 	// A VM that is no aggregator in its own view forwards the outliers that its aggregator reported.
 	if known := n.recent(); known != nil {
--- a/loads/node_test.go
+++ b/loads/node_test.go
@@ -23,6 +23,7 @@
 type testVM struct {
 	node   *Node
 	own    atomic.Pointer[jdaw.Backlog]
+	demand atomic.Pointer[jdaw.Demand]
 	stored atomic.Int32 // quarantines to be written
 	srv    *grpc.Server
 }
@@ -50,8 +51,10 @@
 	for _, m := range st.Members {
 		v := &testVM{srv: grpc.NewServer()}
 		v.own.Store(&jdaw.Backlog{})
+		v.demand.Store(&jdaw.Demand{})
 		v.node = New(Config{
 			Self: m, State: func() *fleet.State { return st }, Own: func() jdaw.Backlog { return *v.own.Load() },
+			Demand:     func() jdaw.Demand { return *v.demand.Load() },
 			Quarantine: func(jdaw.Quarantine) { v.stored.Add(1) }, Log: log,
 		})
 		wire.RegisterLoadsServer(v.srv, v.node)
--- /dev/null
+++ b/relay/admit_test.go
@@ -0,0 +1,165 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"jackdawbarrow/config"
+)
+
+// desk is an upstream of 4 slots that states its slowdown.
+type desk struct {
+	running atomic.Int32
+	most    atomic.Int32 // requests at once
+	hold    chan struct{}
+}
+
+func newDesk() *desk { return &desk{hold: make(chan struct{})} }
+
+func (u *desk) serve(w http.ResponseWriter, r *http.Request) {
+	n := u.running.Add(1)
+	defer u.running.Add(-1)
+	for most := u.most.Load(); n > most && !u.most.CompareAndSwap(most, n); most = u.most.Load() {
+	}
+	w.Header().Set("Slowdown", "1")
+	_, _ = io.Copy(io.Discard, r.Body)
+	if r.Header.Get("Quick") == "" {
+		select {
+		case <-u.hold:
+		case <-r.Context().Done():
+		}
+	}
+	_, _ = io.WriteString(w, "fine")
+}
+
+// sendMany sends n requests at once and returns their replies.
+func sendMany(t *testing.T, base string, n int, header map[string]string) func() []reply {
+	t.Helper()
+	replies := make([]reply, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			h := map[string]string{"Id": fmt.Sprint("many", i)}
+			for name, value := range header {
+				h[name] = value
+			}
+			replies[i] = send(t, base, http.MethodPost, "/a/x", h)
+		}()
+	}
+	return func() []reply {
+		wg.Wait()
+		return replies
+	}
+}
+
+func eventually(t *testing.T, what string, isSo func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !isSo(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// Guards against requests that pile up at an upstream, are lost in the queue, or run
+// more than once; and against a queue for a service that states no slowdown.
+func TestQueue(t *testing.T) {
+	t.Run("off", func(t *testing.T) {
+		u := newDesk()
+		d, base := start(t, route(config.RouteUnsafe), func(w http.ResponseWriter, r *http.Request) {
+			u.serve(w, r)
+		})
+		replies := sendMany(t, base, 12, nil)
+		eventually(t, "12 requests don't reach the upstream", func() bool { return len(d.arrived()) == 12 })
+		close(u.hold)
+		replies()
+	})
+	t.Run("on", func(t *testing.T) {
+		u := newDesk()
+		d, base := start(t, route(config.RouteUnsafe), u.serve)
+		send(t, base, http.MethodPost, "/a/x", map[string]string{"Quick": "1"})
+		replies := sendMany(t, base, 20, nil)
+		eventually(t, "4 slots aren't used", func() bool { return u.running.Load() >= 4 })
+		time.Sleep(50 * time.Millisecond)
+		close(u.hold)
+		for i, got := range replies() {
+			if id := fmt.Sprint("many", i); got.status != http.StatusOK || d.arrivedWith(id) != 1 {
+				t.Errorf("%s: status %d %s, arrived %d times", id, got.status, got.body, d.arrivedWith(id))
+			}
+		}
+		if most := u.most.Load(); most > 5 {
+			t.Errorf("%d requests at once at 4 slots", most)
+		}
+	})
+}
+
+// Guards against a caller who waits for what can't be served in time, and against a
+// refusal that isn't true or says nothing about its reason.
+func TestQueueRefuses(t *testing.T) {
+	u := newDesk()
+	d, base := start(t, route(config.RouteUnsafe), u.serve)
+	send(t, base, http.MethodPost, "/a/x", map[string]string{"Quick": "1"})
+	replies := sendMany(t, base, 5, nil)
+	eventually(t, "the places aren't used", func() bool { return u.running.Load() == 5 })
+	began := time.Now()
+	got := send(t, base, http.MethodPost, "/a/x", map[string]string{"Id": "late", "Wait": "300"})
+	if got.status != http.StatusTooManyRequests || !strings.Contains(got.body, `"code":1305`) || got.header.Get("Retry-After") == "" {
+		t.Errorf("got %d %s, Retry-After %q", got.status, got.body, got.header.Get("Retry-After"))
+	}
+	if took := time.Since(began); took > 400*time.Millisecond {
+		t.Errorf("refused after %v", took)
+	}
+	close(u.hold)
+	replies()
+	if d.arrivedWith("late") != 0 {
+		t.Error("a refused request ran")
+	}
+	found := false
+	for _, e := range d.log.AllEntries() {
+		if e.Data["request"] == "late" && e.Data["queueCause"] != nil && e.Data["queueSlots"] == 4 {
+			found = true
+		}
+	}
+	if !found {
+		t.Error("the log doesn't say why the request was refused")
+	}
+}
+
+// Guards against a planned stop that waits for requests in the queue or leaves them
+// without an answer.
+func TestQueueInDrain(t *testing.T) {
+	u := newDesk()
+	d, base := start(t, route(config.RouteSafe), u.serve)
+	send(t, base, http.MethodPost, "/a/x", map[string]string{"Quick": "1"})
+	running := sendMany(t, base, 5, nil)
+	eventually(t, "the places aren't used", func() bool { return u.running.Load() == 5 })
+	waiting := sendMany(t, base, 3, map[string]string{"Id": "waits"})
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	d.relay.Drain(began.Add(2 * time.Second))
+	for _, got := range waiting() {
+		if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, `"code":1303`) {
+			t.Errorf("got %d %s", got.status, got.body)
+		}
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("it took %v", took)
+	}
+	if d.arrivedWith("waits") != 0 {
+		t.Error("a refused request ran")
+	}
+	close(u.hold)
+	for _, got := range running() {
+		if got.status != http.StatusOK {
+			t.Errorf("got %d %s", got.status, got.body)
+		}
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -158,6 +158,7 @@
 
 // notice records and logs what the upstream says about itself in its response.
 func (c *call) notice(a *attempt) {
+	c.x.admission.observe(c.service, a.info.Load)
 	for _, kind := range a.reservation.notice(time.Now(), a.info) {
 		c.x.cfg.Metrics.noticed(kind)
 		entry := c.x.cfg.Log.WithFields(logrus.Fields{
@@ -312,6 +313,10 @@
 // plain serves a request whose response is buffered.
 func (c *call) plain() error {
 	c.x.retryBudget.refill(c.service)
+	if err := c.admit(); err != nil {
+		return err
+	}
+	defer c.leaveQueue(false)
 	for {
 		a, err := c.dispatch("", c.info.ResumeAfter, c.attemptLimit())
 		v, ended := c.classify(a, err)
@@ -330,6 +335,7 @@
 			c.reportCrash(a, v)
 		}
 		if !ended {
+			c.leaveQueue(true)
 			c.reportAnswer(time.Now())
 			return c.writePlain(a.response, held)
 		}
--- a/relay/drain.go
+++ b/relay/drain.go
@@ -12,6 +12,7 @@
 // whole. At end, requests in progress get their final response.
 func (x *Relay) Drain(end time.Time) {
 	x.drainEnd.Store(&end)
+	x.admission.queue.Drain()
 	time.AfterFunc(time.Until(end), x.stop)
 }
 
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -30,6 +30,9 @@
 	if code == jdaw.CodeQuarantined {
 		return max(time.Until(c.quarantineEnd), defaultRetryAfter).Round(time.Second)
 	}
+	if c.admitted.rejection != nil {
+		return c.admitted.rejection.RetryAfter.Round(time.Millisecond)
+	}
 	if code != jdaw.CodeNoUpstream && code != jdaw.CodeUpstreamRefused {
 		return defaultRetryAfter
 	}
@@ -86,6 +89,7 @@
 			"events": a.events, "firstEventMs": a.first.Sub(a.sentAt).Milliseconds(), "paceUs": a.interEventTime().Microseconds(),
 		})
 	}
+	entry = entry.WithFields(c.queueFields())
 	if s := c.streaming; s != nil && s.cascade != nil {
 		entry = entry.WithFields(s.cascade.decision)
 	}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -18,6 +18,9 @@
 	duration metric.Float64Histogram
 	notices  metric.Int64Counter
 	crashes  metric.Int64Counter
+	admitted metric.Int64Counter
+	waiting  metric.Int64Gauge
+	waits    metric.Float64Histogram
 }
 
 // NewMetrics creates the instruments.
@@ -37,7 +40,23 @@
 	}
 	crashes, err := m.Int64Counter("relay_crashed_requests",
 		metric.WithDescription("requests at an upstream whose process crashed before the end of their answer"))
-	return &Metrics{requests: requests, duration: duration, notices: notices, crashes: crashes}, errors.Wrap(err, "create relay_crashed_requests")
+	if err != nil {
+		return nil, errors.Wrap(err, "create relay_crashed_requests")
+	}
+	admitted, err := m.Int64Counter("relay_queue_decisions",
+		metric.WithDescription("decisions about plain requests that asked for a slot, by service and result"))
+	if err != nil {
+		return nil, errors.Wrap(err, "create relay_queue_decisions")
+	}
+	waiting, err := m.Int64Gauge("relay_queue_waiting", metric.WithDescription("requests that wait for a slot, by service"))
+	if err != nil {
+		return nil, errors.Wrap(err, "create relay_queue_waiting")
+	}
+	waits, err := m.Float64Histogram("relay_queue_wait", metric.WithUnit("s"),
+		metric.WithDescription("time that granted requests waited for a slot, by service"))
+	return &Metrics{
+		requests: requests, duration: duration, notices: notices, crashes: crashes, admitted: admitted, waiting: waiting, waits: waits,
+	}, errors.Wrap(err, "create relay_queue_wait")
 }
 
 // crashed counts a request at an upstream that crashed.
@@ -47,6 +66,19 @@
 	}
 }
 
+// decided counts a decision of the queue: "granted", or why the request got no place.
+func (m *Metrics) decided(service, result string, waiting int, waited time.Duration) {
+	if m == nil {
+		return
+	}
+	of := attribute.String("service", service)
+	m.admitted.Add(context.Background(), 1, metric.WithAttributes(of, attribute.String("result", result)))
+	m.waiting.Record(context.Background(), int64(waiting), metric.WithAttributes(of))
+	if result == resultGranted {
+		m.waits.Record(context.Background(), waited.Seconds(), metric.WithAttributes(of))
+	}
+}
+
 // noticed counts a notice of an upstream.
 func (m *Metrics) noticed(kind noticeKind) {
 	if m == nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,14 @@
 	Backlogs Backlogs
 	// Poison may be nil; then no prompt part is kept from upstreams.
 	Poison Poison
+	// Demand returns the demand of workspaces at other VMs; may be nil.
+	Demand func() jdaw.Demand
+	// IsOn reports whether plain requests for a service are queued at the VM. By
+	// default, they are once an upstream of the service has stated its slowdown.
+	IsOn func(service string) bool
+	// MaxWaiting is the number of requests that may wait for one service; 0 takes
+	// the default.
+	MaxWaiting int
 	// QualityTarget is the confidence, 0..1, that a response must reach.
 	QualityTarget float64
 	// BodyMemory bounds the bodies of all requests and responses that are held at
@@ -65,6 +73,7 @@
 	abandonBudget    *tokenBucket
 	prefillRates     *prefillRates
 	memory           *memoryBudget
+	admission        *admission
 	drainEnd         atomic.Pointer[time.Time] // nil until the VM is stopped
 	stopped          context.Context           // ends at drainEnd
 	stop             context.CancelFunc
@@ -73,11 +82,13 @@
 // New returns a relay.
 func New(cfg Config) *Relay {
 	stopped, stop := context.WithCancel(context.Background())
-	return &Relay{
+	x := &Relay{
 		stopped: stopped, stop: stop,
 		cfg: cfg, picker: newPicker(cfg.Self, cfg.Backlogs), retryBudget: newRetryBudget(), eventTimesByKind: newEventTimesByKind(),
 		abandonBudget: newAbandonBudget(), prefillRates: newPrefillRates(), memory: newMemoryBudget(cfg.BodyMemory),
 	}
+	x.admission = newAdmission(cfg, x.picker)
+	return x
 }
 
 // Forget drops the state of removed upstreams.
@@ -118,6 +129,7 @@
 	// quarantineEnd is set if a part of the prompt is quarantined.
 	quarantineEnd time.Time
 	streaming     *streaming
+	admitted      admitted // of a plain request
 }
 
 // ServeHTTP implements [http.Handler].
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -61,6 +61,9 @@
 	if pause, err := time.ParseDuration(h.Get("Pause")); err == nil {
 		a.Pause = pause
 	}
+	if slowdown, err := strconv.ParseFloat(h.Get("Slowdown"), 64); err == nil {
+		a.Load.Slowdown = slowdown
+	}
 	if n, err := strconv.Atoi(h.Get("Confidence")); err == nil {
 		a.Confidence = n
 	}
