queue: reject what would be late while demand exceeds the slots

Change: while all VMs ask for more than the slots, a request that can't be served by the route's target is rejected. Half again as many places as slots, and a margin on shares, so that slots are not idle at a demand just above them.

--- a/queue/load_test.go
+++ b/queue/load_test.go
@@ -19,7 +19,7 @@
 	exchangePeriod  = 400 * time.Millisecond
 	playedDeadline  = 1500 * time.Millisecond
 	playedAim       = 300 * time.Millisecond
-	playedTime      = 20 * time.Second
+	playedTime      = 40 * time.Second
 	greedy          = "w0"
 )
 
@@ -177,7 +177,7 @@
 		l.try(vm, deadline, 3, done)
 		return
 	}
-	r := Request{Workspace: jdaw.WorkspaceID(w), Deadline: deadline, ShareDraw: l.rng.Float64(), ReturnDraw: l.rng.Float64()}
+	r := Request{Workspace: jdaw.WorkspaceID(w), Deadline: deadline, Target: l.now.Add(playedAim), ShareDraw: l.rng.Float64(), ReturnDraw: l.rng.Float64()}
 	t, decided := vm.service.arrive(l.now, l.room(vm), r)
 	vm.dispatch[t] = func() {
 		if t.verdict == rejected {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -23,6 +23,7 @@
 // Causes of rejections.
 const (
 	CauseDeadline Cause = "deadline" // it can't be served by its deadline
+	CauseLate     Cause = "late"     // it would be late, and make others late
 	CauseFull     Cause = "full"     // too many requests wait
 	CauseDraining Cause = "draining" // the VM shuts down
 )
--- a/queue/service.go
+++ b/queue/service.go
@@ -11,13 +11,13 @@
 
 const (
 	// placesPerSlot keeps upstreams from being idle between two requests.
-	placesPerSlot = 1.25
+	placesPerSlot = 1.5
 	// useDecay is the time in which the weight of demand and use falls to a third. It
 	// spans several exchanges between VMs.
 	useDecay = 2 * time.Second
 	// partMargin times a VM's part of the places is what it may have in flight while
 	// demand exceeds the slots: requests don't come evenly.
-	partMargin = 1.5
+	partMargin = 2
 	// busyShare is the share of the slots from which on they count as taken while
 	// demand exceeds them. Reports of other VMs are late, and what they say varies.
 	busyShare = 0.5
@@ -49,6 +49,8 @@
 	Workspace jdaw.WorkspaceID
 	Rank      int // 0 is the most urgent
 	Deadline  time.Time
+	// Target is the time until which the answer is worth most; zero if not stated.
+	Target time.Time
 	// ShareDraw and ReturnDraw are uniform in 0..1. The first decides about the part
 	// of a request that a share has room for, the second spreads Retry-After.
 	ShareDraw  float64
@@ -380,11 +382,16 @@
 // forever is longer than any deadline.
 const forever = time.Hour
 
-// judge rejects a waiting request that can't be served by its deadline.
+// judge rejects a waiting request that can't be served by its deadline. While all
+// VMs ask for more than the slots, one that can't be served by its target is rejected
+// as well: it would make another one late.
 func (s *service) judge(at time.Time, room Room, t *ticket) {
-	wait := s.estimate(at, room, t)
-	if at.Add(wait + s.highTime(at)).After(t.Deadline) {
+	end := at.Add(s.estimate(at, room, t) + s.highTime(at))
+	switch {
+	case end.After(t.Deadline):
 		s.reject(at, room, t, CauseDeadline)
+	case !t.Target.IsZero() && end.After(t.Target) && s.isCrowded(at, room):
+		s.reject(at, room, t, CauseLate)
 	}
 }
 
--- a/queue/share.go
+++ b/queue/share.go
@@ -8,8 +8,14 @@
 	"jackdawbarrow"
 )
 
-// levelTime is the time for which the level of shares is kept.
-const levelTime = 50 * time.Millisecond
+const (
+	// levelTime is the time for which the level of shares is kept.
+	levelTime = 50 * time.Millisecond
+	// shareMargin times the places are shared out. Demand counts callers who return
+	// twice, and the time in the upstreams' queues; without the margin, slots were idle
+	// at a demand just above them.
+	shareMargin = 1.15
+)
 
 // level is the most that one workspace gets of all VMs, in decayed milliseconds.
 type level struct {
@@ -59,7 +65,7 @@
 // add up to the places (max-min fairness); infinite if there is room for all.
 func (s *service) fairLevel(at time.Time, room Room) float64 {
 	total := s.demand(at)
-	capacity := totalPlaces(room) * milliseconds(useDecay)
+	capacity := shareMargin * totalPlaces(room) * milliseconds(useDecay)
 	if total <= capacity {
 		return math.Inf(1)
 	}
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -110,9 +110,13 @@
 	if c.priority >= 0 {
 		rank = c.priority
 	}
-	place, err := c.x.admission.queue.Admit(c.ctx, c.service, queues.Request{
+	r := queues.Request{
 		Workspace: c.workspace, Rank: rank, Deadline: c.deadline, ShareDraw: rand.Float64(), ReturnDraw: rand.Float64(),
-	})
+	}
+	if c.route.Target > 0 {
+		r.Target = c.startedAt.Add(c.route.Target)
+	}
+	place, err := c.x.admission.queue.Admit(c.ctx, c.service, r)
 	c.admitted.place = place
 	var rejection *queues.Rejection
 	switch {
