--- a/queue/doc.go
+++ b/queue/doc.go
@@ -6,7 +6,7 @@
 // instead, while no upstream has them and they can still be refused truthfully.
 //
 // A VM's room is what other VMs leave of the places of a service, and at least one
-// request. Places are the slots of the usable upstreams and a quarter more. While the
+// request. Places are half again as many as the slots of the usable upstreams. While the
 // demand of all VMs exceeds the places, each workspace has a share by max-min
 // fairness, and each VM the part of it that matches its part of the workspace's
 // demand. Shares bind only while half of the slots or more are taken.
--- a/queue/share.go
+++ b/queue/share.go
@@ -14,7 +14,7 @@
 	// shareMargin times the places are shared out. Demand counts callers who return
 	// twice, and the time in the upstreams' queues; without the margin, slots were idle
 	// at a demand just above them.
-	shareMargin = 1.15
+	shareMargin = 1.1
 )
 
 // level is the most that one workspace gets of all VMs, in decayed milliseconds.
