queue: don't refuse as late what is late without waiting

Cause: with upstreams three times slower, the service time exceeds the target of plain routes, and each request that had to wait would have been refused as late. Change: a request is late only if waiting makes it miss its target.

--- a/queue/service.go
+++ b/queue/service.go
@@ -74,6 +74,7 @@
 	flow      *flow
 	seq       uint64 // order of arrival
 	verdict   verdict
+	arrivedAt time.Time
 	grantedAt time.Time
 	charged   float64 // milliseconds added to the use of the workspace so far
 	rejection Rejection
@@ -172,7 +173,7 @@
 	f.asked = f.asked.with(at, cost)
 	s.asked = s.asked.with(at, cost)
 	s.seq++
-	t := &ticket{Request: r, flow: f, seq: s.seq, verdict: waiting}
+	t := &ticket{Request: r, flow: f, seq: s.seq, verdict: waiting, arrivedAt: at}
 	s.enqueue(t)
 	decided := s.grantAll(at, room)
 	if t.verdict != waiting {
@@ -386,15 +387,29 @@
 // VMs ask for more than the slots, one that can't be served by its target is rejected
 // as well: it would make another one late.
 func (s *service) judge(at time.Time, room Room, t *ticket) {
-	end := at.Add(s.estimate(at, room, t) + s.highTime(at))
+	begin := at.Add(s.estimate(at, room, t))
 	switch {
-	case end.After(t.Deadline):
+	case begin.Add(s.highTime(at)).After(t.Deadline):
 		s.reject(at, room, t, CauseDeadline)
-	case !t.Target.IsZero() && end.After(t.Target) && s.isCrowded(at, room):
+	case s.isCrowded(at, room) && s.isLate(at, begin, t):
 		s.reject(at, room, t, CauseLate)
 	}
 }
 
+// isLate reports whether a request that begins then would miss its target only because
+// it waited. If the service itself takes longer, all are late, and none makes way.
+func (s *service) isLate(at, begin time.Time, t *ticket) bool {
+	if t.Target.IsZero() {
+		return false
+	}
+	for _, took := range []time.Duration{s.highTime(at), s.times.mean()} {
+		if !t.arrivedAt.Add(took).After(t.Target) {
+			return begin.Add(took).After(t.Target)
+		}
+	}
+	return false
+}
+
 // highTime is the time in which nine in ten requests end, or the time for which the
 // requests in flight have lasted, if the service has turned slow.
 func (s *service) highTime(at time.Time) time.Duration {
--- a/queue/service_test.go
+++ b/queue/service_test.go
@@ -170,6 +170,41 @@
 	}
 }
 
+// Guards against requests that are served late and make others late, and against the
+// refusal of what would be late anywhere.
+func TestLate(t *testing.T) {
+	cases := map[string]struct {
+		took    time.Duration
+		demand  uint32 // of others, in milliseconds
+		target  time.Duration
+		verdict verdict
+	}{
+		"can meet its target":                {40 * time.Millisecond, 100_000, 300 * time.Millisecond, waiting},
+		"would be late":                      {100 * time.Millisecond, 100_000, 180 * time.Millisecond, rejected},
+		"would be late, without an overload": {100 * time.Millisecond, 0, 180 * time.Millisecond, waiting},
+		"the service takes longer than that": {200 * time.Millisecond, 100_000, 180 * time.Millisecond, waiting},
+		"no target":                          {100 * time.Millisecond, 100_000, 0, waiting},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := learned(DefaultLimit, c.took)
+			s.others = jdaw.Demand{s.total: {Asked: c.demand}}
+			room := Room{Slots: 6, Others: 60}
+			var last *ticket
+			for range 3 {
+				r := request("a", 0, 2*time.Second)
+				if c.target > 0 {
+					r.Target = after(c.target)
+				}
+				last, _ = s.arrive(begin, room, r)
+			}
+			if last.verdict != c.verdict || last.verdict == rejected && last.rejection.Cause != CauseLate {
+				t.Errorf("%s (%s), want %s", last.verdict, last.rejection.Cause, c.verdict)
+			}
+		})
+	}
+}
+
 // Guards against one workspace that fills the queue, and against a queue or a table of
 // workspaces that grows without end.
 func TestBounds(t *testing.T) {
