--- a/relay/admit_test.go
+++ b/relay/admit_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -169,3 +170,37 @@
 		}
 	}
 }
+
+// Guards against a caller who left while waiting and is served, or keeps a place.
+func TestQueueCallerLeaves(t *testing.T) {
+	u := newDesk()
+	d, base := start(t, route(config.RouteUnsafe), u.serve)
+	send(t, base, http.MethodPost, "/a/x", map[string]string{"Quick": "1"})
+	running := sendMany(t, base, deskPlaces, nil)
+	eventually(t, "the places aren't used", func() bool { return u.running.Load() == deskPlaces })
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/a/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Id", "left")
+	req.Header.Set("Key", "k")
+	time.AfterFunc(50*time.Millisecond, cancel)
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_ = resp.Body.Close()
+		t.Errorf("answered with %d", resp.StatusCode)
+	}
+	time.Sleep(50 * time.Millisecond)
+	close(u.hold)
+	running()
+	again := sendMany(t, base, deskPlaces, nil)
+	for _, got := range again() {
+		if got.status != http.StatusOK {
+			t.Errorf("got %d %s", got.status, got.body)
+		}
+	}
+	if d.arrivedWith("left") != 0 {
+		t.Error("the request of a caller who left was sent")
+	}
+}
