--- a/config/relay.go
+++ b/config/relay.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"time"
 
@@ -34,6 +35,9 @@
 	// of all others at upstreams, whatever the length of their prompts.
 	RankEscalations bool            `yaml:"rankEscalations"`
 	Hedging         HedgingSettings `yaml:"hedging"`
+	// MaxWaiting is the number of requests that may wait at this VM for the slots of
+	// one plain service; 0 takes the default.
+	MaxWaiting int `yaml:"maxWaiting"`
 	// Terms are the platform's names of what it demands of a deployment. Its
 	// adapter switches on the settings that they call for.
 	Terms []string    `yaml:"terms"`
@@ -66,6 +70,9 @@
 	maxHedgeShare        = 0.25
 )
 
+// maxMaxWaiting bounds the memory and the processor time that waiting requests take.
+const maxMaxWaiting = 4096
+
 // LoadRelaySettings reads and checks a settings file. The error lists every
 // fault with file, line and field.
 func LoadRelaySettings(file string) (RelaySettings, error) {
@@ -134,6 +141,9 @@
 	if s.Hedging.ExtraShare < 0 || s.Hedging.ExtraShare > maxHedgeShare {
 		c.fault("$.hedging.extraShare", "must be between 0 and 0.25")
 	}
+	if s.MaxWaiting < 0 || s.MaxWaiting > maxMaxWaiting {
+		c.fault("$.maxWaiting", fmt.Sprintf("must be between 0 and %d", maxMaxWaiting))
+	}
 	s.Log.check(c)
 }
 
--- a/gate/process.go
+++ b/gate/process.go
@@ -148,11 +148,15 @@
 			<-ready
 			return p.relay.Backlog()
 		},
+		Demand: func() jdaw.Demand {
+			<-ready
+			return p.relay.Demand()
+		},
 	})
 	p.relay = relay.New(relay.Config{
 		Self: s.VM, Fleet: p.node, Protocol: cfg.Protocol, Pool: p.pool, Planner: p.casc, Learner: p.casc, Backlogs: p.loads, Poison: p.poison,
 		QualityTarget: s.QualityTarget, RankEscalations: s.RankEscalations, BodyMemory: bodyMemory(s.MemoryMB), HedgeShare: s.Hedging.ExtraShare,
-		Metrics: observed, Log: cfg.Log,
+		Demand: p.loads.OthersDemand, MaxWaiting: s.MaxWaiting, Metrics: observed, Log: cfg.Log,
 	})
 	close(ready)
 	return p, p.listen(metrics)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -362,6 +362,10 @@
 // plain serves a request whose response is buffered.
 func (c *call) plain() error {
 	c.x.retryBudget.refill(c.service)
+	if err := c.admit(); err != nil {
+		return err
+	}
+	defer c.leaveQueue(false)
 	for {
 		a, err := c.reserve("", c.info.ResumeAfter, c.attemptLimit())
 		if err != nil {
@@ -369,6 +373,7 @@
 		}
 		r, v, ended := c.attemptPlain(a)
 		if !ended {
+			c.leaveQueue(true)
 			c.reportAnswer(time.Now())
 			return c.writePlain(r.a.response, r.body)
 		}
--- a/relay/hedge_test.go
+++ b/relay/hedge_test.go
@@ -120,17 +120,6 @@
 	}
 }
 
-func eventually(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	for range 500 {
-		if holds() {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Errorf("not within 5 s: %s", what)
-}
-
 // Guards against a second run of what may run once, and against hedges where the
 // operator, the upstreams or a roll-out forbid them.
 func TestNoHedge(t *testing.T) {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -21,6 +21,9 @@
 	speed    metric.Float64Gauge
 	slowdown metric.Float64Gauge
 	hedges   metric.Int64Counter
+	admitted metric.Int64Counter
+	waiting  metric.Int64Gauge
+	waits    metric.Float64Histogram
 }
 
 // NewMetrics creates the instruments.
@@ -54,9 +57,24 @@
 		return nil, errors.Wrap(err, "create relay_upstream_slowdown")
 	}
 	hedges, err := m.Int64Counter("relay_hedges", metric.WithDescription("hedges by service and result: sent, won, wasted"))
+	if err != nil {
+		return nil, errors.Wrap(err, "create relay_hedges")
+	}
+	admitted, err := m.Int64Counter("relay_queue_decisions",
+		metric.WithDescription("decisions about plain requests that asked for a slot, by service and result"))
+	if err != nil {
+		return nil, errors.Wrap(err, "create relay_queue_decisions")
+	}
+	waiting, err := m.Int64Gauge("relay_queue_waiting", metric.WithDescription("requests that wait for a slot, by service"))
+	if err != nil {
+		return nil, errors.Wrap(err, "create relay_queue_waiting")
+	}
+	waits, err := m.Float64Histogram("relay_queue_wait", metric.WithUnit("s"),
+		metric.WithDescription("time that granted requests waited for a slot, by service"))
 	return &Metrics{
 		requests: requests, duration: duration, notices: notices, crashes: crashes, speed: speed, slowdown: slowdown, hedges: hedges,
-	}, errors.Wrap(err, "create relay_hedges")
+		admitted: admitted, waiting: waiting, waits: waits,
+	}, errors.Wrap(err, "create relay_queue_wait")
 }
 
 // speeds records the speeds of the upstreams of a service.
@@ -84,6 +102,19 @@
 	}
 }
 
+// decided counts a decision of the queue: "granted", or why the request got no place.
+func (m *Metrics) decided(service, result string, waiting int, waited time.Duration) {
+	if m == nil {
+		return
+	}
+	of := attribute.String("service", service)
+	m.admitted.Add(context.Background(), 1, metric.WithAttributes(of, attribute.String("result", result)))
+	m.waiting.Record(context.Background(), int64(waiting), metric.WithAttributes(of))
+	if result == resultGranted {
+		m.waits.Record(context.Background(), waited.Seconds(), metric.WithAttributes(of))
+	}
+}
+
 // noticed counts a notice of an upstream.
 func (m *Metrics) noticed(kind noticeKind) {
 	if m == nil {
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -228,3 +228,10 @@
 		}
 	}
 }
+
+// reports reports whether upstreams of the service state their slowdown.
+func (p *picker) reports(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.services[service].Reports(time.Now())
+}
