--- a/relay/pace.go
+++ b/relay/pace.go
@@ -162,6 +162,22 @@
 	return s.pace.Estimate(at, others, w)
 }
 
+// backlog returns this VM's work and recent outcomes at all upstreams.
+func (p *picker) backlog(at time.Time) jdaw.Backlog {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := jdaw.Backlog{}
+	for _, s := range p.upstreams {
+		load := jdaw.UpstreamLoad{Tokens: uint32(s.work()), Later: uint32(s.escalatedTokens)}
+		load.Ended, load.Failed = s.recent.counts(at)
+		s.addPace(at, &load)
+		if load != (jdaw.UpstreamLoad{}) {
+			b[s.key] = load
+		}
+	}
+	return b
+}
+
 // addPace adds what other VMs need of the speed and the requests in flight.
 // Messages of services without reports stay as short as before.
 func (s *upstreamState) addPace(at time.Time, load *jdaw.UpstreamLoad) {
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -15,15 +15,6 @@
 )
 
 const (
-	// coldShare is the share of a cold upstream's rate that all VMs together
-	// use. The rest is a margin for VMs with different membership views.
-	coldShare = 0.8
-	// coldWindow is the window for a VM's share of the cold rate: the second
-	// that the rate is stated for, and network jitter.
-	coldWindow = 1100 * time.Millisecond
-	// assumedColdTime is the time for which an upstream that refused a connection
-	// counts as cold. After it, its store entry shows whether it was restarted.
-	assumedColdTime = 2500 * time.Millisecond
 	// failuresToEject consecutive failures eject an upstream for firstEject, and
 	// for twice as long each further time up to lastEject. Some services fail one
 	// in seven requests when healthy.
@@ -379,43 +370,6 @@
 	return s
 }
 
-func (p *picker) isCold(at time.Time, u *fleet.Upstream, s *upstreamState) bool {
-	return u.IsCold(at) || at.Before(s.coldUntil)
-}
-
-// mayUseCold limits the requests of all VMs to a cold upstream without any
-// coordination: its rate is divided among the VMs in rendezvous hash order, so
-// that different VMs may use different upstreams.
-func (p *picker) mayUseCold(at time.Time, st *fleet.State, spec config.ServiceSpec, u *fleet.Upstream, s *upstreamState) bool {
-	if spec.ColdRate <= 0 {
-		return true
-	}
-	if s.quotaOf != st {
-		s.quotaOf = st
-		s.quota = coldQuota(int(spec.ColdRate*coldShare), u.ID, p.self, st.VMs())
-	}
-	kept := s.coldSent[:0]
-	for _, t := range s.coldSent {
-		if at.Sub(t) < coldWindow {
-			kept = append(kept, t)
-		}
-	}
-	s.coldSent = kept
-	return len(kept) < s.quota
-}
-
-// coldQuota returns the VM's share of rate requests to an upstream in one
-// window.
-func coldQuota(rate int, id jdaw.UpstreamID, self jdaw.VMID, vms []jdaw.VMID) int {
-	rate = max(rate, 1)
-	for i, vm := range jdaw.Rendezvous("cold/"+string(id), vms) {
-		if vm == self {
-			return (rate + len(vms) - 1 - i) / len(vms)
-		}
-	}
-	return 0
-}
-
 // started clears the pending work of the request at its first event.
 func (res *reservation) started() {
 	res.p.mu.Lock()
@@ -430,22 +384,6 @@
 	res.pendingTokens = 0
 }
 
-// backlog returns this VM's work and recent outcomes at all upstreams.
-func (p *picker) backlog(at time.Time) jdaw.Backlog {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	b := jdaw.Backlog{}
-	for _, s := range p.upstreams {
-		load := jdaw.UpstreamLoad{Tokens: uint32(s.work()), Later: uint32(s.escalatedTokens)}
-		load.Ended, load.Failed = s.recent.counts(at)
-		s.addPace(at, &load)
-		if load != (jdaw.UpstreamLoad{}) {
-			b[s.key] = load
-		}
-	}
-	return b
-}
-
 // release frees the slot and records the outcome.
 func (res *reservation) release(at time.Time, o outcome) {
 	p := res.p
