--- a/config/relay.go
+++ b/config/relay.go
@@ -22,6 +22,9 @@
 	// DrainSeconds is the time from a stop signal to the end of the process.
 	DrainSeconds float64 `yaml:"drainSeconds"`
 	MemoryMB     int     `yaml:"memoryMB"` // limit of the process
+	// MaxFDs is the limit of the process's open descriptors; 0 takes that of the
+	// operating system.
+	MaxFDs int `yaml:"maxFds"`
 	// ApplyMillis is the time in which a change in the store must be in force.
 	ApplyMillis int `yaml:"applyMillis"`
 	// Exposure is the largest share of a service's requests that an undecided
@@ -106,6 +109,9 @@
 	if s.MemoryMB < 0 {
 		c.fault("$.memoryMB", "must not be negative")
 	}
+	if s.MaxFDs < 0 {
+		c.fault("$.maxFds", "must not be negative")
+	}
 	if s.ApplyMillis < 0 {
 		c.fault("$.applyMillis", "must not be negative")
 	}
