intake, gate, relay: bound what callers hold of a VM

Cause: callers that stop short, send headers of many short fields, don't read answers or send nothing took the memory and descriptors of a VM at each port, and kept the memory for bodies for as long as they stayed. Change: package intake keeps one account over all servers of the process: connections by kind of server from maxFds, parsed headers by their bytes and lines from memoryMB, bodies, and writes that don't progress. A body has a slowest rate and a longest time. A request for body memory aborts unfinished bodies that stand still before it is refused. The directory, the probe and the metrics take no bodies, headers of 4 KB and 3 s for a request; gRPC has a handshake limit.

--- a/config/relay.go
+++ b/config/relay.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"time"
 
@@ -32,8 +33,49 @@
 	Exposure float64 `yaml:"exposure"`
 	// QualityTarget is the confidence, 0..1, that an answer of a cascade must
 	// reach.
-	QualityTarget float64     `yaml:"qualityTarget"`
-	Log           LogSettings `yaml:"log"`
+	QualityTarget float64        `yaml:"qualityTarget"`
+	Intake        IntakeSettings `yaml:"intake"`
+	Log           LogSettings    `yaml:"log"`
+}
+
+// IntakeSettings bound what callers hold of the process. A value of 0 takes the
+// default.
+type IntakeSettings struct {
+	// ConnectionShare is the part of maxFds for connections of callers, 0..0.9.
+	ConnectionShare float64 `yaml:"connectionShare"`
+	// HeaderShare is the part of memoryMB for parsed headers, 0..0.5.
+	HeaderShare float64 `yaml:"headerShare"`
+	// BodyRate is the slowest rate of a body in bytes a second, over
+	// BodyWindowSeconds.
+	BodyRate          int     `yaml:"bodyRate"`
+	BodyWindowSeconds float64 `yaml:"bodyWindowSeconds"`
+	// BodySeconds is the longest time of a body.
+	BodySeconds float64 `yaml:"bodySeconds"`
+	// UnreadSeconds is the longest time in which a caller reads nothing of an answer.
+	UnreadSeconds float64 `yaml:"unreadSeconds"`
+}
+
+// The largest values of the intake's settings.
+const (
+	maxConnectionShare = 0.9
+	maxHeaderShare     = 0.5
+	maxBodyRate        = 1 << 20
+	maxIntakeSeconds   = 3600
+)
+
+func (s IntakeSettings) check(c *checker) {
+	for field, v := range map[string]struct{ value, most float64 }{
+		"connectionShare":   {s.ConnectionShare, maxConnectionShare},
+		"headerShare":       {s.HeaderShare, maxHeaderShare},
+		"bodyRate":          {float64(s.BodyRate), maxBodyRate},
+		"bodyWindowSeconds": {s.BodyWindowSeconds, maxIntakeSeconds},
+		"bodySeconds":       {s.BodySeconds, maxIntakeSeconds},
+		"unreadSeconds":     {s.UnreadSeconds, maxIntakeSeconds},
+	} {
+		if v.value < 0 || v.value > v.most {
+			c.fault("$.intake."+field, fmt.Sprintf("must be between 0 and %g", v.most))
+		}
+	}
 }
 
 // RelayAddresses are IP:port of what the process serves.
@@ -121,6 +163,7 @@
 	if s.QualityTarget < 0 || s.QualityTarget > 1 {
 		c.fault("$.qualityTarget", "must be between 0 and 1")
 	}
+	s.Intake.check(c)
 	s.Log.check(c)
 }
 
--- a/gate/process.go
+++ b/gate/process.go
@@ -23,6 +23,7 @@
 	"jackdawbarrow/feed"
 	"jackdawbarrow/fleet"
 	"jackdawbarrow/guard"
+	"jackdawbarrow/intake"
 	"jackdawbarrow/loads"
 	"jackdawbarrow/loop"
 	"jackdawbarrow/meter"
@@ -48,8 +49,17 @@
 	// configuration allows.
 	maxHeaderBytes = 256 << 10
 	maxHeaderTime  = 30 * time.Second
-	// probeTimeout limits the time to read the header of a directory request or probe.
-	probeTimeout = 3 * time.Second
+	// probeTimeout limits the time to read a directory request or probe, and
+	// probeHeaderBytes its header.
+	probeTimeout     = 3 * time.Second
+	probeHeaderBytes = 4 << 10
+	// auxWriteTimeout limits the time to write the response of the directory, the
+	// probe and the metrics.
+	auxWriteTimeout = 15 * time.Second
+	// handshakeTimeout limits the time in which another VM begins to speak gRPC, and
+	// peerHeaderBytes the header of its calls.
+	handshakeTimeout = 5 * time.Second
+	peerHeaderBytes  = 16 << 10
 )
 
 // Directory encodes the list of VMs for callers.
@@ -79,6 +89,7 @@
 	casc       *casc.Node
 	pool       *dial.Pool
 	relay      *relay.Relay
+	intake     *intake.Account
 	callers    *http.Server
 	auxServers []*http.Server
 	feed       *feed.Feed
@@ -136,6 +147,12 @@
 	if err := p.observeStore(instruments); err != nil {
 		return nil, err
 	}
+	p.intake = intake.New(intake.Config{
+		MaxFDs: s.MaxFDs, MemoryBytes: int64(s.MemoryMB) << 20, Rules: intakeRules(s.Intake), Log: cfg.Log,
+	})
+	if err := p.intake.Observe(instruments); err != nil {
+		return nil, err
+	}
 	p.loads = loads.New(loads.Config{
 		Self: self, State: p.node.State, Poison: p.poison, Quarantine: p.node.Quarantine, Log: cfg.Log,
 		Own: func() jdaw.Backlog {
@@ -151,6 +168,14 @@
 	return p, p.listen(metrics)
 }
 
+func intakeRules(s config.IntakeSettings) intake.Rules {
+	seconds := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+	return intake.Rules{
+		ConnShare: s.ConnectionShare, HeaderShare: s.HeaderShare, BodyRate: s.BodyRate, BodyWindow: seconds(s.BodyWindowSeconds),
+		BodyTime: seconds(s.BodySeconds), UnreadTime: seconds(s.UnreadSeconds),
+	}
+}
+
 // callCounter is implemented by stores that count their calls by kind.
 type callCounter interface{ Calls() map[string]int64 }
 
@@ -246,29 +271,38 @@
 func (p *Process) listen(metrics http.Handler) error {
 	s := p.cfg.Settings
 	directoryPath, readyPath := p.cfg.Directory.Paths()
+	conns := newCallerConns(p.callerLimits, p.cfg.Log)
 	p.callers = &http.Server{
-		Handler: http.HandlerFunc(p.serveCaller), ReadHeaderTimeout: maxHeaderTime, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: newCallerConns(p.callerLimits, p.cfg.Log).stateChanged,
+		Handler: p.intake.Handler(http.HandlerFunc(p.serveCaller)), ReadHeaderTimeout: maxHeaderTime, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: intake.ConnContext,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			conns.stateChanged(conn, state)
+			p.intake.ConnStateChanged(conn, state)
+		},
 	}
-	if err := p.serve(p.callers, s.Listen.Callers); err != nil {
+	if err := p.serve(p.callers, s.Listen.Callers, intake.Callers); err != nil {
 		return err
 	}
 	for addr, route := range map[string]struct {
 		path    string
 		handler http.HandlerFunc
+		class   intake.Class
 	}{
-		s.Listen.Directory: {directoryPath, p.serveDirectory},
-		s.Listen.Ready:     {readyPath, p.serveReady},
-		s.Listen.Metrics:   {"/metrics", metrics.ServeHTTP},
+		s.Listen.Directory: {directoryPath, p.serveDirectory, intake.Directory},
+		s.Listen.Ready:     {readyPath, p.serveReady, intake.Probe},
+		s.Listen.Metrics:   {"/metrics", metrics.ServeHTTP, intake.Metrics},
 	} {
 		if addr == "" {
 			continue
 		}
 		router := httprouter.New()
 		router.HandlerFunc(http.MethodGet, route.path, route.handler)
-		srv := &http.Server{Handler: router, ReadHeaderTimeout: probeTimeout, IdleTimeout: config.DefaultCallerIdleTime}
+		srv := &http.Server{
+			Handler: intake.Bodyless(router), ReadTimeout: probeTimeout, WriteTimeout: auxWriteTimeout, MaxHeaderBytes: probeHeaderBytes,
+			IdleTimeout: config.DefaultCallerIdleTime, ConnState: p.intake.ConnStateChanged,
+		}
 		p.auxServers = append(p.auxServers, srv)
-		if err := p.serve(srv, addr); err != nil {
+		if err := p.serve(srv, addr, route.class); err != nil {
 			return err
 		}
 	}
@@ -277,7 +311,8 @@
 
 // servePeers serves the change feed and load reports to other VMs.
 func (p *Process) servePeers(addr string) error {
-	p.peers = grpc.NewServer(peers.ServerOptions()...)
+	options := append(peers.ServerOptions(), grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxHeaderListSize(peerHeaderBytes))
+	p.peers = grpc.NewServer(options...)
 	wire.RegisterFeedServer(p.peers, p.feed)
 	wire.RegisterLoadsServer(p.peers, p.loads)
 	if addr == "" {
@@ -288,20 +323,20 @@
 		return errors.Wrapf(err, "listen on %s", addr)
 	}
 	p.wg.Go(func() {
-		if err := p.peers.Serve(l); err != nil {
+		if err := p.peers.Serve(p.intake.Listen(l, intake.Peers)); err != nil {
 			p.cfg.Log.WithError(err).WithField("address", addr).Error("server failed")
 		}
 	})
 	return nil
 }
 
-func (p *Process) serve(srv *http.Server, addr string) error {
+func (p *Process) serve(srv *http.Server, addr string, class intake.Class) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", addr)
 	}
 	p.wg.Go(func() {
-		if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(p.intake.Listen(l, class)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			p.cfg.Log.WithError(err).WithField("address", addr).Error("server failed")
 		}
 	})
@@ -410,4 +445,5 @@
 	p.loop.Close()
 	p.pool.Close()
 	p.wg.Wait()
+	p.intake.Close()
 }
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -3,8 +3,11 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"jackdawbarrow/intake"
 )
 
 const (
@@ -14,6 +17,10 @@
 	// bodyStep is the size of the steps in which memory for a body is reserved, in
 	// bytes. The declared length of a body is not trusted.
 	bodyStep = 4 << 10
+	// reclaimTries, with reclaimPause between them, is the number of times to look for
+	// the memory of callers that were closed to make room.
+	reclaimTries = 50
+	reclaimPause = 5 * time.Millisecond
 )
 
 var (
@@ -35,9 +42,19 @@
 	return b
 }
 
+// take reserves n bytes and reports whether they were free.
+func (b *memoryBudget) take(n int64) bool {
+	if b.free.Add(-n) < 0 {
+		b.free.Add(n)
+		return false
+	}
+	return true
+}
+
 // heldMemory is the memory that one request holds.
 type heldMemory struct {
 	budget *memoryBudget
+	conn   *intake.Conn // of the caller; may be nil
 	bytes  int64
 }
 
@@ -48,17 +65,32 @@
 	if more <= 0 {
 		return nil
 	}
-	if h.budget.free.Add(-more) < 0 {
-		h.budget.free.Add(more)
+	if !h.budget.take(more) && !h.reclaim(more) {
 		return errNoMemory
 	}
 	h.bytes = n
+	h.conn.HoldBody(n)
 	return nil
 }
 
+// reclaim reserves memory that callers with unfinished bodies give up.
+func (h *heldMemory) reclaim(n int64) bool {
+	if !h.conn.Reclaim(n) {
+		return false
+	}
+	for range reclaimTries {
+		if h.budget.take(n) {
+			return true
+		}
+		time.Sleep(reclaimPause)
+	}
+	return false
+}
+
 func (h *heldMemory) release() {
 	h.budget.free.Add(h.bytes)
 	h.bytes = 0
+	h.conn.HoldBody(0)
 }
 
 // readBody reads a body of at most limit bytes. While its buffer doubles, the old
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,7 @@
 	"jackdawbarrow/config"
 	"jackdawbarrow/dial"
 	"jackdawbarrow/fleet"
+	"jackdawbarrow/intake"
 )
 
 const (
@@ -122,7 +123,7 @@
 
 // ServeHTTP implements [http.Handler].
 func (x *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{x: x, w: w, r: r, startedAt: time.Now(), priority: -1, memory: heldMemory{budget: x.memory}}
+	c := &call{x: x, w: w, r: r, startedAt: time.Now(), priority: -1, memory: heldMemory{budget: x.memory, conn: intake.FromContext(r.Context())}}
 	defer c.memory.release()
 	err := c.prepare()
 	if err == nil {
