intake, gate, tools: ordinary headers always find room; crowds tested apart

Cause: with the memory for headers held by requests at upstreams, which are not cut, the headers of all newcomers would have been closed. An outsider on the peers' port could open any number of calls on one connection. The crowds ran beside the tests of other packages, though each should run apart from other load. Change: a header of up to 16 KB in memory is never closed for lack of room; 64 calls at once on a connection of gRPC; tools/test.sh runs the crowds after the soak, by themselves.

--- a/gate/process.go
+++ b/gate/process.go
@@ -56,10 +56,12 @@
 	// auxWriteTimeout limits the time to write the response of the directory, the
 	// probe and the metrics.
 	auxWriteTimeout = 15 * time.Second
-	// handshakeTimeout limits the time in which another VM begins to speak gRPC, and
-	// peerHeaderBytes the header of its calls.
+	// handshakeTimeout limits the time in which another VM begins to speak gRPC,
+	// peerHeaderBytes the header of its calls and peerCalls the calls in progress on one
+	// connection; further ones wait at the other VM.
 	handshakeTimeout = 5 * time.Second
 	peerHeaderBytes  = 16 << 10
+	peerCalls        = 64
 )
 
 // Directory encodes the list of VMs for callers.
@@ -311,7 +313,8 @@
 
 // servePeers serves the change feed and load reports to other VMs.
 func (p *Process) servePeers(addr string) error {
-	options := append(peers.ServerOptions(), grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxHeaderListSize(peerHeaderBytes))
+	options := append(peers.ServerOptions(),
+		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxHeaderListSize(peerHeaderBytes), grpc.MaxConcurrentStreams(peerCalls))
 	p.peers = grpc.NewServer(options...)
 	wire.RegisterFeedServer(p.peers, p.feed)
 	wire.RegisterLoadsServer(p.peers, p.loads)
--- a/intake/account.go
+++ b/intake/account.go
@@ -307,7 +307,7 @@
 }
 
 // holdHeader adds the memory of a part of a header. If there is no room, it closes
-// the connections that rank highest, c too.
+// the connections that rank highest, c among them.
 func (a *Account) holdHeader(c *Conn, bytes int64) {
 	at := time.Now()
 	var victims []*Conn
@@ -325,10 +325,7 @@
 			}
 		}
 		if victim == nil {
-			victim = c
-		}
-		if _, ok := a.conns[victim.class][victim]; !ok {
-			break // c is closed already
+			break
 		}
 		a.remove(victim, TooManyFields)
 		victims = append(victims, victim)
--- a/intake/account_test.go
+++ b/intake/account_test.go
@@ -109,6 +109,23 @@
 	}
 }
 
+// Guards against ordinary requests that are closed because requests at upstreams hold
+// the memory for headers.
+func TestOrdinaryHeader(t *testing.T) {
+	a := newAccount(t, Config{MemoryBytes: 10 << 20, Rules: Rules{HeaderShare: 0.1}})
+	served, servedConn := admit(a, "10.0.0.1", phaseWaiting, 0)
+	a.holdHeader(served, a.headerBytes)
+	served.enter(phaseServing, time.Now())
+	ordinary, ordinaryConn := admit(a, "10.0.0.2", phaseWaiting, 0)
+	a.holdHeader(ordinary, headerBytes(1000, 20))
+	long, longConn := admit(a, "10.0.0.3", phaseWaiting, 0)
+	a.holdHeader(long, headerBytes(10_000, 1000))
+	if servedConn.closed || ordinaryConn.closed || !longConn.closed {
+		t.Errorf("closed: %v for the one being served, %v for the ordinary one, %v for the long one; want false, false, true",
+			servedConn.closed, ordinaryConn.closed, longConn.closed)
+	}
+}
+
 // Guards against bodies that take the memory for as long as their callers stay.
 func TestReclaim(t *testing.T) {
 	a := newAccount(t, Config{})
--- a/intake/rank.go
+++ b/intake/rank.go
@@ -45,8 +45,15 @@
 // closed.
 func (h Holding) connRank() float64 { return h.staleness() * float64(h.Conns) }
 
+// ordinaryHeader is the memory of a header that is always admitted, so that requests
+// at upstreams that hold the memory for headers don't keep others out.
+const ordinaryHeader = 16 << 10
+
 // headerRank orders connections when memory for headers runs out.
 func (h Holding) headerRank() float64 {
+	if h.HeaderBytes <= ordinaryHeader {
+		return 0
+	}
 	return h.staleness() * float64(h.HeaderBytes)
 }
 
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Runs all tests: those of package proof and the soak of package platform, which
-# start processes and check time bounds, by themselves and without the race
-# detector; all others with it.
+# Runs all tests: those of package proof, the soak and the crowds of package
+# platform, which start processes and check bounds, by themselves and without the
+# race detector; all others with it.
 # Tests named in KNOWN-RED.txt run apart: they are printed and do not fail the run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -25,8 +25,9 @@
 fi
 
 packages=$(go list ./... | grep -v '/proof$')
-go test ${race[@]+"${race[@]}"} -count=1 -timeout 20m -skip "^(TestRelaySoak${known:+|$known})\$" $packages
+go test ${race[@]+"${race[@]}"} -count=1 -timeout 20m -skip "^(TestRelaySoak|TestCrowdOf[A-Za-z]+${known:+|$known})\$" $packages
 go test -count=1 -timeout 10m -run '^TestRelaySoak$' ./platform
+go test -count=1 -timeout 10m -run '^TestCrowdOf' ${skip[@]+"${skip[@]}"} ./platform
 go test -count=1 -timeout 30m ${skip[@]+"${skip[@]}"} ./proof
 if [ -n "$known" ]; then
 	echo "== known failures, listed in KNOWN-RED.txt"
