--- a/intake/account.go
+++ b/intake/account.go
@@ -345,11 +345,15 @@
 }
 
 // reclaim closes callers that hold at least n bytes of unfinished bodies in all and
-// rank above c. It reports whether there were any.
+// rank above c, unless c is closed itself. It reports whether there were any.
 func (a *Account) reclaim(c *Conn, n int64) bool {
 	at := time.Now()
 	var victims []*Conn
 	a.mu.Lock()
+	if _, ok := a.conns[c.class][c]; !ok {
+		a.mu.Unlock()
+		return false // closed, so its request ends
+	}
 	least := c.holding(at).bodyRank()
 	for n > 0 {
 		victim := a.highest(at, Callers, Holding.bodyRank, least, c)
--- a/intake/account_test.go
+++ b/intake/account_test.go
@@ -143,6 +143,9 @@
 	if moving.Reclaim(4 << 10) {
 		t.Error("the caller that holds the most closed another one")
 	}
+	if still.Reclaim(4<<10) || movingConn.closed {
+		t.Error("a caller that was closed itself closed another one")
+	}
 }
 
 // Guards against callers that send or read too slowly without end, and against closing
