intake, gate: unfinished calls between VMs count as held memory

Change: bytes that arrive on a connection of gRPC are held, in the memory for headers, until their message is whole; without room, the connection that holds the most is closed. The states of calls come from a stats handler.

--- a/gate/process.go
+++ b/gate/process.go
@@ -314,7 +314,8 @@
 // servePeers serves the change feed and load reports to other VMs.
 func (p *Process) servePeers(addr string) error {
 	options := append(peers.ServerOptions(),
-		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxHeaderListSize(peerHeaderBytes), grpc.MaxConcurrentStreams(peerCalls))
+		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxHeaderListSize(peerHeaderBytes), grpc.MaxConcurrentStreams(peerCalls),
+		grpc.StatsHandler(p.intake.Calls()))
 	p.peers = grpc.NewServer(options...)
 	wire.RegisterFeedServer(p.peers, p.feed)
 	wire.RegisterLoadsServer(p.peers, p.loads)
--- a/intake/account.go
+++ b/intake/account.go
@@ -336,12 +336,16 @@
 	}
 }
 
-// dropHeader gives the memory of a request's header back.
-func (a *Account) dropHeader(c *Conn) {
+// wholeHeader is the size that gives all memory of a header back.
+const wholeHeader = math.MaxInt64
+
+// dropHeader gives memory of a request's header back, at most as much as is held.
+func (a *Account) dropHeader(c *Conn, bytes int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.headers -= c.header
-	c.header = 0
+	bytes = min(bytes, c.header)
+	a.headers -= bytes
+	c.header -= bytes
 }
 
 // reclaim closes callers that hold at least n bytes of unfinished bodies in all and
@@ -413,7 +417,7 @@
 		return
 	}
 	c.enter(phaseWaiting, time.Now())
-	a.dropHeader(c)
+	a.dropHeader(c, wholeHeader)
 }
 
 // rateTime returns the time that n bytes are worth at the slowest rate.
--- a/intake/account_test.go
+++ b/intake/account_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"context"
 	"io"
 	"net"
 	"strings"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc/stats"
 )
 
 // memoryConn is a connection that reads from memory.
@@ -103,7 +105,7 @@
 	if a.headers > a.headerBytes {
 		t.Errorf("%d bytes held, the bound is %d", a.headers, a.headerBytes)
 	}
-	a.dropHeader(small)
+	a.dropHeader(small, wholeHeader)
 	if a.headers != 0 {
 		t.Errorf("%d bytes held after the last request", a.headers)
 	}
@@ -191,3 +193,40 @@
 		})
 	}
 }
+
+// Guards against messages of other VMs that stay unfinished and take the memory, and
+// against closing connections for calls that have ended.
+func TestCalls(t *testing.T) {
+	a := newAccount(t, Config{MemoryBytes: 10 << 20, Rules: Rules{HeaderShare: 0.1}})
+	const message = 512 << 10
+	m := &memoryConn{addr: "10.0.0.1", input: strings.NewReader(strings.Repeat("\n", 6*message))}
+	c := a.admit(m, Peers)
+	h := a.Calls()
+	ctx := h.TagConn(context.Background(), &stats.ConnTagInfo{RemoteAddr: m.RemoteAddr()})
+	read := func() {
+		if _, err := io.ReadFull(c, make([]byte, message)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	h.HandleRPC(ctx, &stats.Begin{}) // in progress until the end
+	for range 2 {
+		h.HandleRPC(ctx, &stats.Begin{})
+		read()
+		h.HandleRPC(ctx, &stats.InPayload{WireLength: message})
+		h.HandleRPC(ctx, &stats.End{})
+	}
+	if m.closed || a.headers != 0 {
+		t.Errorf("closed: %v, %d bytes held after whole messages; want false, 0", m.closed, a.headers)
+	}
+	read()
+	if h.HandleRPC(ctx, &stats.End{}); a.headers != 0 {
+		t.Errorf("%d bytes held after the last call", a.headers)
+	}
+	h.HandleRPC(ctx, &stats.Begin{})
+	for range 3 {
+		read()
+	}
+	if !m.closed || a.headers != 0 {
+		t.Errorf("closed: %v, %d bytes held with unfinished messages beyond the memory; want true, 0", m.closed, a.headers)
+	}
+}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -39,7 +39,8 @@
 	writing atomic.Int64 // begin of a write that has not ended; 0 if there is none
 	body    atomic.Int64 // bytes in memory
 
-	header int64 // bytes in memory, guarded by the account
+	calls  atomic.Int32 // of gRPC, in progress
+	header int64        // bytes of a header or of messages in memory, guarded by the account
 }
 
 func newConn(a *Account, conn net.Conn, class Class, at time.Time) *Conn {
@@ -87,8 +88,11 @@
 		return n, err
 	}
 	c.progress(time.Now(), n)
-	if p == phaseWaiting {
+	switch p {
+	case phaseWaiting:
 		c.account.holdHeader(c, headerBytes(n, bytes.Count(b[:n], []byte("\n"))))
+	case phaseOpen:
+		c.account.holdHeader(c, int64(n))
 	}
 	return n, err
 }
