--- a/config/relay.go
+++ b/config/relay.go
@@ -23,6 +23,9 @@
 	// DrainSeconds is the time from a stop signal to the end of the process.
 	DrainSeconds float64 `yaml:"drainSeconds"`
 	MemoryMB     int     `yaml:"memoryMB"` // limit of the process
+	// MaxFDs is the limit of the process's open descriptors; 0 takes that of the
+	// operating system.
+	MaxFDs int `yaml:"maxFds"`
 	// ApplyMillis is the time in which a change in the store must be in force.
 	ApplyMillis int `yaml:"applyMillis"`
 	// Exposure is the largest share of a service's requests that an undecided
@@ -35,6 +38,7 @@
 	// of all others at upstreams, whatever the length of their prompts.
 	RankEscalations bool            `yaml:"rankEscalations"`
 	Hedging         HedgingSettings `yaml:"hedging"`
+	Intake          IntakeSettings  `yaml:"intake"`
 	// MaxWaiting is the number of requests that may wait at this VM for the slots of
 	// one plain service; 0 takes the default.
 	MaxWaiting int `yaml:"maxWaiting"`
@@ -52,6 +56,46 @@
 	ExtraShare float64 `yaml:"extraShare"`
 }
 
+// IntakeSettings bound what callers hold of the process. A value of 0 takes the
+// default.
+type IntakeSettings struct {
+	// ConnectionShare is the part of maxFds for connections of callers, 0..0.9.
+	ConnectionShare float64 `yaml:"connectionShare"`
+	// HeaderShare is the part of memoryMB for parsed headers, 0..0.5.
+	HeaderShare float64 `yaml:"headerShare"`
+	// BodyRate is the slowest rate of a body in bytes a second, over
+	// BodyWindowSeconds.
+	BodyRate          int     `yaml:"bodyRate"`
+	BodyWindowSeconds float64 `yaml:"bodyWindowSeconds"`
+	// BodySeconds is the longest time of a body.
+	BodySeconds float64 `yaml:"bodySeconds"`
+	// UnreadSeconds is the longest time in which a caller reads nothing of an answer.
+	UnreadSeconds float64 `yaml:"unreadSeconds"`
+}
+
+// The largest values of the intake's settings.
+const (
+	maxConnectionShare = 0.9
+	maxHeaderShare     = 0.5
+	maxBodyRate        = 1 << 20
+	maxIntakeSeconds   = 3600
+)
+
+func (s IntakeSettings) check(c *checker) {
+	for field, v := range map[string]struct{ value, most float64 }{
+		"connectionShare":   {s.ConnectionShare, maxConnectionShare},
+		"headerShare":       {s.HeaderShare, maxHeaderShare},
+		"bodyRate":          {float64(s.BodyRate), maxBodyRate},
+		"bodyWindowSeconds": {s.BodyWindowSeconds, maxIntakeSeconds},
+		"bodySeconds":       {s.BodySeconds, maxIntakeSeconds},
+		"unreadSeconds":     {s.UnreadSeconds, maxIntakeSeconds},
+	} {
+		if v.value < 0 || v.value > v.most {
+			c.fault("$.intake."+field, fmt.Sprintf("must be between 0 and %g", v.most))
+		}
+	}
+}
+
 // RelayAddresses are IP:port of what the process serves.
 type RelayAddresses struct {
 	Callers   string `yaml:"callers"`
@@ -129,6 +173,9 @@
 	if s.MemoryMB < 0 {
 		c.fault("$.memoryMB", "must not be negative")
 	}
+	if s.MaxFDs < 0 {
+		c.fault("$.maxFds", "must not be negative")
+	}
 	if s.ApplyMillis < 0 {
 		c.fault("$.applyMillis", "must not be negative")
 	}
@@ -144,6 +191,7 @@
 	if s.MaxWaiting < 0 || s.MaxWaiting > maxMaxWaiting {
 		c.fault("$.maxWaiting", fmt.Sprintf("must be between 0 and %d", maxMaxWaiting))
 	}
+	s.Intake.check(c)
 	s.Log.check(c)
 }
 
--- a/gate/server.go
+++ b/gate/server.go
@@ -106,6 +106,18 @@
 	since     time.Time // of the last response or, without one, of the connection
 }
 
+// NetConn returns the connection below.
+func (c *serverConn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite closes the sending side. Servers use it to deliver an answer to a caller
+// that still sends.
+func (c *serverConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Read implements net.Conn. Input of a connection that is being closed is dropped.
 func (c *serverConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
