--- a/cmd/jackdawbarrow/relay.go
+++ b/cmd/jackdawbarrow/relay.go
@@ -5,6 +5,7 @@
 	"os"
 	"runtime/debug"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"jackdawbarrow/config"
@@ -19,11 +20,15 @@
 
 type relayCommand struct {
 	Settings string `required:"" type:"existingfile" env:"JACKDAWBARROW_NODE_FILE" help:"YAML file with the settings of this VM."`
+	MaxFDs   int    `name:"max-fds" help:"Limit of the process on descriptors, if the settings state none."`
 }
 
 // Run implements the command. It returns after a drain, which SIGINT and
 // SIGTERM start.
 func (c *relayCommand) Run(ctx context.Context, hangups hangupSource) error {
+	if c.MaxFDs < 0 {
+		return errors.New("--max-fds must not be negative")
+	}
 	settings, err := config.LoadRelaySettings(c.Settings)
 	if err != nil {
 		return err
@@ -39,6 +44,9 @@
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryShare))
 	}
+	if settings.MaxFDs == 0 {
+		settings.MaxFDs = c.MaxFDs
+	}
 	codec := platform.Codec{}
 	p, err := gate.New(gate.Config{
 		Settings: settings, Store: platform.NewStore(settings.Store), Decoder: codec, Encoder: codec,
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -171,3 +172,32 @@
 		})
 	}
 }
+
+// Guards against limits on callers that no caller could meet, or that bound nothing.
+func TestIntakeSettings(t *testing.T) {
+	const settings = `vm: vm0
+dataCentre: oban
+region: west
+listen: {callers: "127.0.0.1:1", directory: "127.0.0.1:2", ready: "127.0.0.1:3"}
+store: "http://127.0.0.1:4"
+`
+	cases := map[string]struct{ add, fault string }{
+		"defaults":                 {"", ""},
+		"all stated":               {"maxFds: 4100\nintake: {connectionShare: 0.4, headerShare: 0.1, bodyRate: 500, bodyWindowSeconds: 20, bodySeconds: 60, unreadSeconds: 30}\n", ""},
+		"negative descriptors":     {"maxFds: -1\n", "maxFds"},
+		"more than the process's":  {"intake: {connectionShare: 1.5}\n", "intake.connectionShare"},
+		"header memory for bodies": {"intake: {headerShare: 0.9}\n", "intake.headerShare"},
+		"negative rate":            {"intake: {bodyRate: -1}\n", "intake.bodyRate"},
+		"endless body":             {"intake: {bodySeconds: 100000}\n", "intake.bodySeconds"},
+		"unknown field":            {"intake: {bodies: 1}\n", "bodies"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, faults := config.ParseRelaySettings("settings.yaml", []byte(settings+c.add))
+			err := faults.Err()
+			if (err == nil) != (c.fault == "") || err != nil && !strings.Contains(err.Error(), c.fault) {
+				t.Errorf("%v, want a fault of %q", err, c.fault)
+			}
+		})
+	}
+}
