relay: a request that is refused in a drain gives its place back

Cause: plain deferred the release after admit had succeeded. A request whose body arrived while the VM began to shut down got a place, and checkDrain refused it then; the place was never free again. Once all were lost, requests that end before the VM does got 1303 with an idle upstream. Change: the release is deferred before admit.

--- a/relay/admit_test.go
+++ b/relay/admit_test.go
@@ -204,3 +204,51 @@
 		t.Error("the request of a caller who left was sent")
 	}
 }
+
+// Guards against places that are never given back by requests that get one while the
+// VM begins to shut down, and are refused then: later requests would find no room.
+func TestRefusedInDrainKeepsNoPlace(t *testing.T) {
+	u := newDesk()
+	close(u.hold)
+	d, base := start(t, route(config.RouteUnsafe), u.serve)
+	send(t, base, http.MethodPost, "/a/x", nil)
+	var rests []*io.PipeWriter
+	statuses := make(chan int, deskPlaces)
+	for i := range deskPlaces {
+		body, rest := io.Pipe()
+		rests = append(rests, rest)
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, base+"/a/x", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "h.example"
+		req.Header.Set("Id", fmt.Sprint("long", i))
+		req.Header.Set("Key", "k")
+		go func() {
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			_ = resp.Body.Close()
+			statuses <- resp.StatusCode
+		}()
+		if _, err := io.WriteString(rest, "bo"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(100 * time.Millisecond) // the relay reads the bodies
+	d.relay.Drain(time.Now().Add(2 * time.Second))
+	for _, rest := range rests {
+		_ = rest.Close()
+	}
+	for range deskPlaces {
+		if status := <-statuses; status != http.StatusServiceUnavailable {
+			t.Fatalf("status %d for a request that may last longer than the VM", status)
+		}
+	}
+	got := send(t, base, http.MethodPost, "/a/x", map[string]string{"Id": "short", "Wait": "1000"})
+	if got.status != http.StatusOK {
+		t.Errorf("got %d %s for a request that ends before the VM does", got.status, got.body)
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -362,10 +362,10 @@
 // plain serves a request whose response is buffered.
 func (c *call) plain() error {
 	c.x.retryBudget.refill(c.service)
+	defer c.leaveQueue(false) // also if the request is refused after it got a place
 	if err := c.admit(); err != nil {
 		return err
 	}
-	defer c.leaveQueue(false)
 	for {
 		a, err := c.reserve("", c.info.ResumeAfter, c.attemptLimit())
 		if err != nil {
