intake: a caller that was closed to make room is not served

Cause: the account closes a connection that is idle or whose body has not ended. A request that became complete in the same moment, as when a VM wakes after a pause, went on to an upstream, and its caller got no answer. Change: a request is served, and a body ends, only if its connection is still in the account after it has entered the phase in which it is not closed. Measured: go test -race -run TestClosedCallerIsNotServed ./intake: red before (both cases), green after.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -94,6 +94,16 @@
 	c.due.Store(now + int64(c.account.cfg.Rules.BodyWindow))
 }
 
+// serve begins the service of a complete request. It reports false if the connection
+// was closed to make room meanwhile: the request must not run without its caller.
+func (c *Conn) serve() bool {
+	c.enter(phaseServing, time.Now())
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	_, isOpen := c.account.conns[c.class][c]
+	return isOpen
+}
+
 // Read implements [net.Conn].
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"time"
 )
@@ -23,7 +24,9 @@
 		}
 		defer c.HoldBody(0)
 		if r.ContentLength == 0 {
-			c.enter(phaseServing, time.Now())
+			if !c.serve() {
+				panic(http.ErrAbortHandler)
+			}
 			next.ServeHTTP(w, r)
 			return
 		}
@@ -64,7 +67,9 @@
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF && !b.ended {
 		b.ended = true
-		b.conn.enter(phaseServing, time.Now())
+		if !b.conn.serve() {
+			return n, net.ErrClosed
+		}
 	}
 	return n, err
 }
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -127,3 +127,39 @@
 		})
 	}
 }
+
+// Guards against requests that run although their connection was closed to make room
+// in the moment in which they became complete: their callers get no answer.
+func TestClosedCallerIsNotServed(t *testing.T) {
+	t.Run("no body", func(t *testing.T) {
+		a := newAccount(t, Config{})
+		c, _ := admit(a, "10.0.0.1", phaseWaiting, 0)
+		a.mu.Lock()
+		a.remove(c, TooManyConns)
+		a.mu.Unlock()
+		r := httptest.NewRequest(http.MethodPost, "/", http.NoBody)
+		r = r.WithContext(ConnContext(r.Context(), c))
+		defer func() {
+			if recover() != http.ErrAbortHandler {
+				t.Error("the handler wasn't aborted")
+			}
+		}()
+		a.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			t.Error("the request was served")
+		})).ServeHTTP(httptest.NewRecorder(), r)
+	})
+	t.Run("body", func(t *testing.T) {
+		a := newAccount(t, Config{})
+		c, _ := admit(a, "10.0.0.1", phaseReading, 0)
+		b := &body{ReadCloser: io.NopCloser(strings.NewReader("ab")), conn: c}
+		if _, err := b.Read(make([]byte, 2)); err != nil {
+			t.Fatal(err)
+		}
+		a.mu.Lock()
+		a.remove(c, SlowBody)
+		a.mu.Unlock()
+		if _, err := b.Read(make([]byte, 2)); err == nil || err == io.EOF {
+			t.Errorf("the body ended with %v, want another error", err)
+		}
+	})
+}
