intake: lines of a body are not counted as header fields

Cause: the first read of a request holds the header and the begin of its body. Each line of the body counted as a field of 200 bytes, so that an ordinary request with a body of many lines ranked among those with large headers and was closed when memory for headers ran out. Change: lines count up to the end of the header.

--- a/intake/account_test.go
+++ b/intake/account_test.go
@@ -230,3 +230,17 @@
 		t.Errorf("closed: %v, %d bytes held with unfinished messages beyond the memory; want true, 0", m.closed, a.headers)
 	}
 }
+
+// Guards against the lines of a body that count as header fields: an ordinary request
+// would rank among those with large headers.
+func TestLinesOfBody(t *testing.T) {
+	a := newAccount(t, Config{})
+	c, m := admit(a, "10.0.0.1", phaseWaiting, 0)
+	m.input = strings.NewReader("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000\r\n\r\n" + strings.Repeat("\n", 3000))
+	if _, err := c.Read(make([]byte, 4<<10)); err != nil {
+		t.Fatal(err)
+	}
+	if c.header > ordinaryHeader {
+		t.Errorf("%d bytes held for a header of 4 lines", c.header)
+	}
+}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -114,13 +114,22 @@
 	c.progress(time.Now(), n)
 	switch p {
 	case phaseWaiting:
-		c.account.holdHeader(c, headerBytes(n, bytes.Count(b[:n], []byte("\n"))))
+		c.account.holdHeader(c, headerBytes(n, headerLines(b[:n])))
 	case phaseOpen:
 		c.account.holdHeader(c, int64(n))
 	}
 	return n, err
 }
 
+// headerLines returns the number of lines in b up to the end of a header. What follows
+// is a body or waits in the server's buffer.
+func headerLines(b []byte) int {
+	if end := bytes.Index(b, []byte("\r\n\r\n")); end >= 0 {
+		b = b[:end]
+	}
+	return bytes.Count(b, []byte("\n"))
+}
+
 // progress moves the due time on by n bytes. A caller that was overdue starts from now:
 // it may have been checked late.
 func (c *Conn) progress(at time.Time, n int) {
