relay: an answer may take the memory of unfinished bodies

Cause: since plain answers are read by exchange, their memory was not that of the caller's connection, and nothing was reclaimed for it. With callers who hold the memory by unfinished bodies, a request ran and its caller got 502, also one that may run once only. Change: exchange reads with the connection of the call. A hedge that ends after its call doesn't touch the connection. Measured: go test -race -run TestAnswerTakesMemory ./relay: 502 before for both kinds of route, 200 after; three runs.

--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -109,7 +109,7 @@
 // exchange sends the attempt and reads the body of its response. It uses nothing of
 // the call that changes, since a hedged call runs two at a time.
 func (c *call) exchange(a *attempt) answer {
-	r := answer{a: a, memory: heldMemory{budget: c.x.memory}}
+	r := answer{a: a, memory: heldMemory{budget: c.x.memory, conn: c.memory.conn}}
 	if r.err = a.send(); r.err == nil && a.hasOwnBody() {
 		r.body, r.bodyErr = r.memory.readBody(a.response.Body, maxPlainAnswer)
 	}
@@ -218,6 +218,7 @@
 				c.notice(a)
 			}
 			a.end(outcomeNeutral)
+			r.memory.conn = nil // serves the caller's next request by now
 			r.memory.release()
 		}
 	}()
