relay: decisions don't use the state of an upstream that was replaced

Cause: the picker keeps the states of a service in a view. A request with the membership from before a restart replaces the state of the upstream, and the next one with the new membership does so again, but the view kept the former one: requests in flight, ejections and slowdowns of that upstream no longer counted at this VM until the membership changed. Change: replacing a state drops the view of its service. Measured: go test -run TestStateReplacedByOlderMembership ./relay: red before (another request with 32 in flight of at most 32), green after.

--- a/relay/picker.go
+++ b/relay/picker.go
@@ -379,6 +379,7 @@
 			startedAt: u.Born, inUse: old.inUse, pendingTokens: old.pendingTokens, escalatedTokens: old.escalatedTokens, lessUrgentTokens: old.lessUrgentTokens,
 		}
 		p.upstreams[u.ID] = s
+		delete(p.views, u.Service) // may hold the replaced state
 	}
 	return s
 }
--- a/relay/picker_test.go
+++ b/relay/picker_test.go
@@ -323,3 +323,22 @@
 		})
 	}
 }
+
+// Guards against decisions by the state of an upstream that has been replaced: a
+// request with the membership from before a restart replaces the state again, and the
+// requests in flight no longer counted.
+func TestStateReplacedByOlderMembership(t *testing.T) {
+	before, after := testState(1, 1), testState(1, 1)
+	after.Upstreams["drafts"][0].Born = 1
+	p := newPicker("vm0", nil)
+	if _, ok := p.pick(now, after, drafts); !ok {
+		t.Fatal("no upstream")
+	}
+	p.room(now, before, "drafts")
+	limit := after.Upstreams["drafts"][0].Slots * queueFactor
+	for n := 1; n <= limit; n++ {
+		if _, ok := p.pick(now, after, drafts); ok != (n < limit) {
+			t.Fatalf("with %d requests in flight of at most %d, another one is sent: %v", n, limit, ok)
+		}
+	}
+}
