relay, gate, cmd: a command tells where a request would go

Change: GET /where at the metrics listener decides about a request that is described by query parameters, and `jackdawbarrow where` prints the answer as a table or as JSON. The code that decides runs on a copy of the state of the service: - picker.collect gets the reason why an upstream is no candidate from the new filter (relay/filter.go), and picker.pick its candidate from find; both are used by the answer too. - pace.Service has Clone, casc.Planner has Preview (a start that isn't counted and doesn't explore), and queue.Queue has Preview, which decides on a copy of the queue of a service. - Draws are parameters, or drawn and shown. Workspaces are given by name; the errors of malformed questions repeat no values. The limits of the listener stay as they are.

Result: go test -race ./relay ./gate ./cmd/jackdawbarrow passes, and so do ./queue, ./pace and ./casc.

--- a/casc/casc_test.go
+++ b/casc/casc_test.go
@@ -280,3 +280,28 @@
 		runtime.KeepAlive(m)
 	}
 }
+
+// Guards against a preview that counts as a start, which explores at times, or that
+// differs from a start that doesn't.
+func TestPreviewCountsNoStart(t *testing.T) {
+	cases := map[string]jdaw.PlanRequest{
+		"none":    {},
+		"one":     {Models: []string{"small"}, Costs: []float64{1}, Target: 0.7, Remaining: time.Second},
+		"two":     {Models: []string{"small", "large"}, Costs: []float64{1, 10}, Target: 0.7, Remaining: time.Second},
+		"no time": {Models: []string{"small", "large"}, Costs: []float64{1, 10}, Target: 0.7},
+	}
+	for name, q := range cases {
+		t.Run(name, func(t *testing.T) {
+			steady := casc.NewPlanner(casc.PlannerConfig{ExploreOneIn: -1})
+			asked, other := casc.NewPlanner(casc.PlannerConfig{ExploreOneIn: 3}), casc.NewPlanner(casc.PlannerConfig{ExploreOneIn: 3})
+			for i := range 60 {
+				if got, want := asked.Preview(q), steady.Start(q); got != want {
+					t.Fatalf("the preview is %d, the start %d", got, want)
+				}
+				if got, want := asked.Start(q), other.Start(q); got != want {
+					t.Fatalf("start %d is %d after previews, %d without", i, got, want)
+				}
+			}
+		})
+	}
+}
--- a/casc/plan.go
+++ b/casc/plan.go
@@ -65,19 +65,30 @@
 
 // Start implements [jdaw.Planner].
 func (p *Planner) Start(q jdaw.PlanRequest) int {
-	var c cascade
+	c, i, ok := p.first(q)
+	if ok && p.shouldExplore() {
+		i = c.explore(i, q.Remaining)
+	}
+	return c.offset + i
+}
+
+// Preview returns what Start returns when it doesn't explore, and counts no start.
+func (p *Planner) Preview(q jdaw.PlanRequest) int {
+	c, i, _ := p.first(q)
+	return c.offset + i
+}
+
+// first returns the first step of the cascade, or false if it is the fastest one, as
+// none is expected to be in time.
+func (p *Planner) first(q jdaw.PlanRequest) (c cascade, i int, ok bool) {
 	c.load(p.snapshot.Load(), q, 0)
 	if c.n == 0 {
-		return 0
+		return c, 0, false
 	}
-	i, ok := c.choose(false, q.Remaining)
-	if !ok {
-		return c.offset + c.fastest()
+	if i, ok = c.choose(false, q.Remaining); !ok {
+		i = c.fastest()
 	}
-	if p.shouldExplore() {
-		i = c.explore(i, q.Remaining)
-	}
-	return c.offset + i
+	return c, i, ok
 }
 
 // Next implements [jdaw.Planner]. An answer without a rating is delivered.
--- a/cmd/jackdawbarrow/main.go
+++ b/cmd/jackdawbarrow/main.go
@@ -31,6 +31,7 @@
 	Init       initCommand       `cmd:"" help:"Store the first configuration of a deployment."`
 	Replay     replayCommand     `cmd:"" help:"Replay a recorded trace and check its stated outcomes."`
 	Explain    explainCommand    `cmd:"" help:"Tell the life of one request from the logs of all VMs."`
+	Where      whereCommand      `cmd:"" help:"Tell where a request would go now, and why, without sending it."`
 	Codes      codesCommand      `cmd:"" help:"Print the table of result codes."`
 	Completion completionCommand `cmd:"" help:"Print a script for completion in bash and zsh."`
 
--- a/gate/process.go
+++ b/gate/process.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -104,6 +105,7 @@
 	draining   atomic.Bool
 	wg         conc.WaitGroup
 	inFlight   atomic.Int64
+	whereMu    sync.Mutex // held while a question of where is answered
 }
 
 // New starts the process of an entry VM.
@@ -310,6 +312,9 @@
 		}
 		router := httprouter.New()
 		router.HandlerFunc(http.MethodGet, route.path, route.handler)
+		if route.class == intake.Metrics {
+			router.HandlerFunc(http.MethodGet, wherePath, p.serveWhere)
+		}
 		srv := &http.Server{
 			Handler: intake.Bodyless(router), ReadTimeout: probeTimeout, WriteTimeout: auxWriteTimeout, MaxHeaderBytes: probeHeaderBytes,
 			IdleTimeout: config.DefaultCallerIdleTime, ConnState: p.intake.ConnStateChanged,
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -87,12 +87,7 @@
 
 // admit waits for a place at the service of a plain request.
 func (c *call) admit() error {
-	r := queues.Request{
-		Workspace: c.workspace, Rank: c.rank(), Deadline: c.deadline, ShareDraw: rand.Float64(), ReturnDraw: rand.Float64(),
-	}
-	if c.route.Target > 0 {
-		r.Target = c.startedAt.Add(c.route.Target)
-	}
+	r := c.queueRequest(rand.Float64(), rand.Float64())
 	place, err := c.x.admission.queue.Admit(c.ctx, c.service, r)
 	c.admitted.place = place
 	var rejection *queues.Rejection
@@ -100,11 +95,7 @@
 	case errors.As(err, &rejection):
 		c.admitted.rejection = rejection
 		c.x.cfg.Metrics.decided(c.service, string(rejection.Cause), rejection.Waiting, 0)
-		code := jdaw.CodeNoCapacity
-		if rejection.Cause == queues.CauseDraining {
-			code = jdaw.CodeDraining
-		}
-		return jdaw.Fail(code, "%s", rejection)
+		return rejectionError(rejection)
 	case err != nil:
 		c.x.cfg.Metrics.decided(c.service, resultGone, c.x.admission.queue.Waiting(c.service), 0)
 		if c.x.stopped.Err() != nil {
@@ -119,6 +110,23 @@
 	return c.checkDrain()
 }
 
+// queueRequest returns the request for a place.
+func (c *call) queueRequest(shareDraw, returnDraw float64) queues.Request {
+	r := queues.Request{Workspace: c.workspace, Rank: c.rank(), Deadline: c.deadline, ShareDraw: shareDraw, ReturnDraw: returnDraw}
+	if c.route.Target > 0 {
+		r.Target = c.startedAt.Add(c.route.Target)
+	}
+	return r
+}
+
+// rejectionError returns the error for a request that the queue rejected.
+func rejectionError(r *queues.Rejection) error {
+	if r.Cause == queues.CauseDraining {
+		return jdaw.Fail(jdaw.CodeDraining, "%s", r)
+	}
+	return jdaw.Fail(jdaw.CodeNoCapacity, "%s", r)
+}
+
 // leaveQueue frees the request's place. isServed is set if an upstream answered. A
 // caller that reads slowly holds no place.
 func (c *call) leaveQueue(isServed bool) { c.admitted.place.Release(isServed) }
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -213,30 +213,37 @@
 func (p *picker) pick(at time.Time, st *fleet.State, q pickRequest) (reservation, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	i := p.find(at, st, q)
+	if i < 0 {
+		return reservation{}, false
+	}
+	u := p.matches[i]
+	s := p.stateOf(u)
+	res := reservation{
+		Upstream: *u, p: p, inUse: s.inUse, candidates: len(p.candidates), queue: p.queueAt(i, q), isEscalated: q.isEscalated, isLessUrgent: q.isLessUrgent,
+		name: q.name, isPlain: q.isPlain(), relativeTime: p.relativeTimes[i], sentAt: at,
+	}
+	res.tokens = res.queue.ahead/res.relativeTime + res.queue.own
+	res.pendingTokens = res.queue.own
+	s.inUse++
+	s.pace.Sent()
+	s.addPending(&res, 1)
+	if p.isCold(at, u, s) {
+		s.coldSent = append(s.coldSent, at)
+	}
+	return res, true
+}
+
+// find returns the index of the candidate to pick, or -1 if none is available.
+func (p *picker) find(at time.Time, st *fleet.State, q pickRequest) int {
 	spec := st.Table.Services[q.service]
 	for _, strict := range []bool{true, false} {
 		p.collect(at, st, spec, q, strict)
-		i := p.choose(q)
-		if i < 0 {
-			continue
-		}
-		u := p.matches[i]
-		s := p.stateOf(u)
-		res := reservation{
-			Upstream: *u, p: p, inUse: s.inUse, candidates: len(p.candidates), queue: p.queueAt(i, q), isEscalated: q.isEscalated, isLessUrgent: q.isLessUrgent,
-			name: q.name, isPlain: q.isPlain(), relativeTime: p.relativeTimes[i], sentAt: at,
-		}
-		res.tokens = res.queue.ahead/res.relativeTime + res.queue.own
-		res.pendingTokens = res.queue.own
-		s.inUse++
-		s.pace.Sent()
-		s.addPending(&res, 1)
-		if p.isCold(at, u, s) {
-			s.coldSent = append(s.coldSent, at)
+		if i := p.choose(q); i >= 0 {
+			return i
 		}
-		return res, true
 	}
-	return reservation{}, false
+	return -1
 }
 
 // peek returns the queue at the upstream that pick would return, or false if
@@ -278,34 +285,17 @@
 	p.options = p.options[:0]
 	p.hasReports = p.services[q.service].Reports(at)
 	others := p.othersAt(q, p.hasReports)
-	var outliers map[jdaw.UpstreamKey]bool
-	if p.backlogs != nil && strict {
-		outliers = p.backlogs.Outliers()
-	}
+	f := p.filterFor(at, st, spec, &q, strict)
 	isPlain, reprefill := q.isPlain(), q.reprefillTokens()
 	states, hasReports := p.statesOf(st, q.service), p.hasReports
 	list := st.Upstreams[q.service]
-	version, isWanted := "", st.WantsVersion(q.service, "", q.sample)
 	for i := range list {
 		u, s := &list[i], states[i]
 		if s.startedAt != u.Born {
 			s = p.stateOf(u)
 			states[i] = s
 		}
-		if u.Version != version {
-			version, isWanted = u.Version, st.WantsVersion(q.service, u.Version, q.sample)
-		}
-		if !isWanted || !isInService(st, u) || len(q.exclude) > 0 && contains(q.exclude, u.ID) || len(outliers) > 0 && outliers[s.key] {
-			continue
-		}
-		isRestricted := s.isRestricted && at.Before(s.restrictedUntil)
-		if isRestricted && (s.notices.forbidsRequests(at) || at.Before(s.replacedUntil) || strict && at.Before(s.ejectedUntil)) {
-			continue
-		}
-		if (isRestricted || !u.ColdUntil.IsZero()) && p.isCold(at, u, s) && !p.mayUseCold(at, st, spec, u, s) {
-			continue
-		}
-		if hasReports && strict && isPlain && s.pace.IsFull(at) {
+		if f.exclusionOf(u, s) != notExcluded {
 			continue
 		}
 		var load jdaw.UpstreamLoad
