--- a/dial/pool.go
+++ b/dial/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -32,8 +33,8 @@
 	maxIdleConns = 16
 	// defaultIdleTime applies if the upstream doesn't state a timeout.
 	defaultIdleTime = 4 * time.Second
-	// maxIdleTotal limits the idle connections to all upstreams: a quarter of the
-	// descriptors of the smallest VMs. The least recently used ones are closed first.
+	// maxIdleTotal limits the idle connections to all upstreams, whatever the
+	// descriptors allow. The least recently used ones are closed first.
 	maxIdleTotal = 1024
 	// maxIdleShare is the share of the process's descriptors that idle connections
 	// may take. Callers need the others.
@@ -51,6 +52,9 @@
 	IdleTime time.Duration
 	// MaxIdle is the maximum number of idle connections to all upstreams.
 	MaxIdle int
+	// MaxFDs is the limit of the process's open descriptors, from which the default
+	// of MaxIdle follows; 0 takes that of the operating system.
+	MaxFDs int
 }
 
 // Pool keeps idle connections by upstream address. It is safe for concurrent use.
@@ -86,19 +90,22 @@
 		cfg.IdleTime = defaultIdleTime
 	}
 	if cfg.MaxIdle == 0 {
-		cfg.MaxIdle = defaultMaxIdle()
+		cfg.MaxIdle = defaultMaxIdle(cfg.MaxFDs)
 	}
 	return &Pool{cfg: cfg, idle: map[string][]*conn{}, dialer: NewDialer(connectTimeout)}
 }
 
 // defaultMaxIdle returns the number of idle connections for the process's limit of
 // descriptors.
-func defaultMaxIdle() int {
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
-		return maxIdleTotal
+func defaultMaxIdle(fds int) int {
+	if fds == 0 {
+		var limit unix.Rlimit
+		if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+			return maxIdleTotal
+		}
+		fds = int(min(limit.Cur, math.MaxInt32))
 	}
-	return int(max(min(maxIdleShare*float64(limit.Cur), maxIdleTotal), 1))
+	return int(max(min(maxIdleShare*float64(fds), maxIdleTotal), 1))
 }
 
 // Stats returns the current numbers of connections.
--- a/gate/process.go
+++ b/gate/process.go
@@ -111,7 +111,7 @@
 // New starts the process of an entry VM.
 func New(cfg Config) (*Process, error) {
 	s := cfg.Settings
-	p := &Process{cfg: cfg, pool: dial.New(dial.Config{}), poison: poison.New(poison.Config{Log: cfg.Log}), conns: map[*http.Server]*serverConns{}}
+	p := &Process{cfg: cfg, pool: dial.New(dial.Config{MaxFDs: s.MaxFDs}), poison: poison.New(poison.Config{Log: cfg.Log}), conns: map[*http.Server]*serverConns{}}
 	machine := fleet.NewMachine(fleet.MachineConfig{Self: s.VM, Region: s.Region, DataCentres: s.DataCentres, Exposure: s.Exposure})
 	post := func(ev jdaw.Event) { p.loop.Post(ev) }
 	p.guard = guard.New(guard.Config{
--- a/pace/service.go
+++ b/pace/service.go
@@ -6,6 +6,22 @@
 	"time"
 )
 
+const (
+	// minSpeed and maxSpeed are well outside the speeds of upstreams of one service,
+	// which differ by about two to one.
+	minSpeed = 0.4
+	maxSpeed = 2.5
+	// priorSamples keeps single durations from moving the speed of an upstream.
+	priorSamples = 3
+	// halfLife spans tens of requests to an upstream over all VMs.
+	halfLife = 20 * time.Second
+	// slowdownTime is about as long as a slowdown lasts: it changes several times a
+	// second.
+	slowdownTime = 400 * time.Millisecond
+	// reportTime is about the age at which the backlogs of other VMs say more.
+	reportTime = 200 * time.Millisecond
+)
+
 // Config configures a Service. Zero values take the defaults.
 type Config struct {
 	// MinSpeed and MaxSpeed limit base speeds; 0.4 and 2.5.
@@ -25,22 +41,22 @@
 // WithDefaults returns the configuration with defaults for zero values.
 func (c Config) WithDefaults() Config {
 	if c.MinSpeed <= 0 {
-		c.MinSpeed = 0.4
+		c.MinSpeed = minSpeed
 	}
 	if c.MaxSpeed <= 0 {
-		c.MaxSpeed = 2.5
+		c.MaxSpeed = maxSpeed
 	}
 	if c.PriorSamples <= 0 {
-		c.PriorSamples = 3
+		c.PriorSamples = priorSamples
 	}
 	if c.HalfLife <= 0 {
-		c.HalfLife = 20 * time.Second
+		c.HalfLife = halfLife
 	}
 	if c.SlowdownTime <= 0 {
-		c.SlowdownTime = 400 * time.Millisecond
+		c.SlowdownTime = slowdownTime
 	}
 	if c.ReportTime <= 0 {
-		c.ReportTime = 200 * time.Millisecond
+		c.ReportTime = reportTime
 	}
 	return c
 }
