--- a/gate/process.go
+++ b/gate/process.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -104,12 +105,13 @@
 	draining   atomic.Bool
 	wg         conc.WaitGroup
 	inFlight   atomic.Int64
+	whereMu    sync.Mutex // held while a question of where is answered
 }
 
 // New starts the process of an entry VM.
 func New(cfg Config) (*Process, error) {
 	s := cfg.Settings
-	p := &Process{cfg: cfg, pool: dial.New(dial.Config{}), poison: poison.New(poison.Config{Log: cfg.Log}), conns: map[*http.Server]*serverConns{}}
+	p := &Process{cfg: cfg, pool: dial.New(dial.Config{MaxFDs: s.MaxFDs}), poison: poison.New(poison.Config{Log: cfg.Log}), conns: map[*http.Server]*serverConns{}}
 	machine := fleet.NewMachine(fleet.MachineConfig{Self: s.VM, Region: s.Region, DataCentres: s.DataCentres, Exposure: s.Exposure})
 	post := func(ev jdaw.Event) { p.loop.Post(ev) }
 	p.guard = guard.New(guard.Config{
@@ -310,6 +312,9 @@
 		}
 		router := httprouter.New()
 		router.HandlerFunc(http.MethodGet, route.path, route.handler)
+		if route.class == intake.Metrics {
+			router.HandlerFunc(http.MethodGet, wherePath, p.serveWhere)
+		}
 		srv := &http.Server{
 			Handler: intake.Bodyless(router), ReadTimeout: probeTimeout, WriteTimeout: auxWriteTimeout, MaxHeaderBytes: probeHeaderBytes,
 			IdleTimeout: config.DefaultCallerIdleTime, ConnState: p.intake.ConnStateChanged,
