review: a removed key is honoured for four seconds

Cause: a relay that has lost a watch takes changes from another one for 5 s; that one counts as reading the store for 4.1 s after its last answer, longer than applyMillis.

--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -37,6 +37,7 @@
 	directories []string      // nearest first
 	keeps       time.Duration // for which an answer of the directory is kept
 	host, key   string
+	only        string // the one address to use, if set
 	random      *rand.Rand
 	report      func(sent)
 
@@ -114,6 +115,9 @@
 // connections to other addresses are closed.
 func (c *client) conn() (*clientConn, error) {
 	addrs := c.list()
+	if c.only != "" {
+		addrs = []string{c.only}
+	}
 	if len(addrs) == 0 {
 		return nil, fmt.Errorf("the directory names no address")
 	}
--- a/review/standin2/crash.go
+++ b/review/standin2/crash.go
@@ -99,7 +99,7 @@
 	})
 	var vms []*vm
 	for i, zone := range names {
-		v, err := newVM(dir, "front-"+zone+"-1", zone, fmt.Sprintf("127.0.0.%d", 31+i), zones, st)
+		v, err := newVM(dir, "front-"+zone+"-1", zone, fmt.Sprintf("127.0.0.%d", 31+i), zones, st.address)
 		if err != nil {
 			return notRun, err
 		}
--- a/review/standin2/drain.go
+++ b/review/standin2/drain.go
@@ -64,7 +64,7 @@
 	var vms []*vm
 	for i := range 6 {
 		zone := names[i%len(names)]
-		v, err := newVM(dir, fmt.Sprintf("front-%s-%d", zone, 1+i/len(names)), zone, fmt.Sprintf("127.0.0.%d", 11+i), zones, st)
+		v, err := newVM(dir, fmt.Sprintf("front-%s-%d", zone, 1+i/len(names)), zone, fmt.Sprintf("127.0.0.%d", 11+i), zones, st.address)
 		if err != nil {
 			return notRun, err
 		}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -18,7 +18,7 @@
 // play is one case. It writes its record and returns the result.
 type play func(r *record, isTrouble bool) (int, error)
 
-var cases = map[string]play{"drain": playDrain, "crash": playCrash}
+var cases = map[string]play{"drain": playDrain, "crash": playCrash, "stale": playStale}
 
 func main() { os.Exit(playCase()) }
 
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -58,6 +58,91 @@
 	return s, nil
 }
 
+// door is the way of one machine to the store.
+type door struct {
+	*store
+	address string
+
+	mu       sync.Mutex
+	isSilent bool // nothing is answered
+	// onWatch is called when a watch arrives. If it returns true, its connection goes
+	// silent for good, while new ones work.
+	onWatch func() bool
+}
+
+// open returns a door to the store for one machine.
+func (s *store) open() (*door, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &door{store: s, address: l.Addr().String()}
+	srv := &http.Server{Handler: d, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = srv.Serve(l) }() // ends with the process
+	return d, nil
+}
+
+func (d *door) setSilent() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.isSilent = true
+}
+
+func (d *door) setOnWatch(f func() bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.onWatch = f
+}
+
+// holds reports whether a call gets no answer.
+func (d *door) holds(r *http.Request) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isSilent {
+		return true
+	}
+	return r.URL.Path == "/kv-watch" && d.onWatch != nil && d.onWatch()
+}
+
+// ServeHTTP implements [http.Handler].
+func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !d.holds(r) {
+		answer := &heldAnswer{header: http.Header{}, status: http.StatusOK}
+		d.store.ServeHTTP(answer, r)
+		d.mu.Lock()
+		isSilent := d.isSilent
+		d.mu.Unlock()
+		if !isSilent {
+			for name, values := range answer.header {
+				w.Header()[name] = values
+			}
+			w.WriteHeader(answer.status)
+			_, _ = w.Write(answer.body) // the caller may have left
+			return
+		}
+	}
+	<-r.Context().Done()
+}
+
+// heldAnswer keeps an answer, so that one to a machine that is cut off meanwhile isn't sent.
+type heldAnswer struct {
+	header http.Header
+	status int
+	body   []byte
+}
+
+// Header implements [http.ResponseWriter].
+func (a *heldAnswer) Header() http.Header { return a.header }
+
+// WriteHeader implements [http.ResponseWriter].
+func (a *heldAnswer) WriteHeader(status int) { a.status = status }
+
+// Write implements [http.ResponseWriter].
+func (a *heldAnswer) Write(b []byte) (int, error) {
+	a.body = append(a.body, b...)
+	return len(b), nil
+}
+
 // put writes as the operator or a runner does.
 func (s *store) put(key string, v any) {
 	b, err := json.Marshal(v)
--- a/review/standin2/vm.go
+++ b/review/standin2/vm.go
@@ -33,7 +33,7 @@
 }
 
 // newVM writes the settings of a VM from the template of the deploy file.
-func newVM(dir, name, zone, ip string, zones map[string]string, st *store) (*vm, error) {
+func newVM(dir, name, zone, ip string, zones map[string]string, storeAddr string) (*vm, error) {
 	template, err := os.ReadFile("deploy/settings.yaml.tmpl")
 	if err != nil {
 		return nil, err
@@ -55,7 +55,7 @@
 	text := strings.NewReplacer(
 		"{{node}}", name, "{{zone}}", zone, "{{region}}", zones[zone], "{{zones|json}}", "{"+strings.Join(list, ",")+"}",
 		"{{listen.front}}", addrs[0], "{{listen.directory}}", addrs[1], "{{listen.ready}}", addrs[2], "{{ip}}", ip,
-		"{{internalPortRange.0}}", peerPort, "{{platform.address}}", st.address, "{{bounds.graceS}}", fmt.Sprint(graceSeconds),
+		"{{internalPortRange.0}}", peerPort, "{{platform.address}}", storeAddr, "{{bounds.graceS}}", fmt.Sprint(graceSeconds),
 		"{{limits.memoryMb}}", "284", "{{bounds.configApplyMs}}", fmt.Sprint(applyMillis), "{{bounds.exposeShare}}", "0.15",
 	).Replace(string(template))
 	if strings.Contains(text, "{{") {
