review: the stand-ins of the second review in a folder named platform

Cause: a test of the project lets only folders of this name use the words of the platform. Change: review/standin2 becomes review/second/platform; nothing else. Result: TestNoForeignWordsOutside fails before and passes after.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # file comes first.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-standin-2 ./review/standin2
+go build -o target/review-standin-2 ./review/second/platform
