--- a/review/second/platform/stale.go
+++ b/review/second/platform/stale.go
@@ -15,6 +15,9 @@
 	// connection went silent, and is in touch again.
 	watchGiveUp = 3200 * time.Millisecond
 	staleGap    = 50 * time.Millisecond // between two requests
+	// turnedAway is the machine that the store turns away: the one of the two others
+	// that the first machine asks for changes.
+	turnedAway = 1
 )
 
 // playStale takes a key away while one relay, whose watch went silent before, hears of
@@ -30,8 +33,8 @@
 		return notRun, err
 	}
 	log := newRunLog()
-	names := []string{"oban", "largs"}
-	zones := map[string]string{"oban": "west", "largs": "west"}
+	names := []string{"oban", "largs", "stranraer"}
+	zones := map[string]string{"oban": "west", "largs": "west", "stranraer": "west"}
 	for i, zone := range names {
 		u := &runner{id: fmt.Sprintf("i-desk-%d", i), service: "desk", zone: zone, version: "v1", slots: 16, workTime: 10 * time.Millisecond, log: log}
 		if err := u.start(); err != nil {
@@ -93,8 +96,8 @@
 	configure(5, 9000, kept, taken)
 	time.Sleep(100 * time.Millisecond)
 	if isTrouble {
-		doors[1].setSilent()
-		r.line("the store answers %s no more", vms[1].name)
+		doors[turnedAway].setSilent()
+		r.line("the store answers %s no more", vms[turnedAway].name)
 		time.Sleep(50 * time.Millisecond)
 	}
 	configure(9, 9000, kept)
