strict, dial, engine, orders, admin: responses with an invalid status are rejected

Callers saw: an upstream that answered with the status 000 had its response taken for an answer. The relay and serve then panicked in WriteHeader ("invalid WriteHeader code 0"), so the caller's connection was closed without an answer. With the header that says "not run", the relay believed it: the caller got a 503 that promises that the request has not run, and a request that may run once was sent to a second upstream. Statuses from 600 on and 101 were passed on.

Cause: http.ReadResponse accepts any three characters that strconv.Atoi takes for a number from 0 on ("000", "+99"), and nobody checked the range after it.

Evidence: TestInvalidStatuses, new, with seven statuses, for each kind of route and of call.

Change: package strict checks the head of a response. dial checks it for the relay, before anything of the response is believed; strict.Transport does so for clients of net/http: serve's engines and services, orders, the command line. An invalid response is a failed attempt whose outcome is unknown, so a repeatable request goes on to another upstream and other callers get a 502 that says so.

--- a/admin/client.go
+++ b/admin/client.go
@@ -13,6 +13,7 @@
 
 	"jackdawbarrow"
 	"jackdawbarrow/config"
+	"jackdawbarrow/strict"
 )
 
 // changeTimeout is above the 6 s that a change waits for its confirmations.
@@ -33,7 +34,7 @@
 // NewClient makes a client.
 func NewClient(cfg ClientConfig) *Client {
 	if cfg.HTTP == nil {
-		cfg.HTTP = &http.Client{Timeout: changeTimeout}
+		cfg.HTTP = &http.Client{Timeout: changeTimeout, Transport: strict.New(strict.Config{})}
 	}
 	return &Client{cfg: cfg}
 }
--- a/cmd/jackdawbarrow/tls.go
+++ b/cmd/jackdawbarrow/tls.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"jackdawbarrow/strict"
 )
 
 // Timeouts of calls: a change waits up to 6 s for its confirmations, an answer
@@ -21,7 +23,7 @@
 // those of the system if ca is empty.
 func httpClient(ca string, timeout time.Duration) (*http.Client, error) {
 	if ca == "" {
-		return &http.Client{Timeout: timeout}, nil
+		return &http.Client{Timeout: timeout, Transport: strict.New(strict.Config{})}, nil
 	}
 	pem, err := os.ReadFile(ca)
 	if err != nil {
@@ -32,5 +34,5 @@
 		return nil, errors.Newf("%s holds no certificate", ca)
 	}
 	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
-	return &http.Client{Timeout: timeout, Transport: transport}, nil
+	return &http.Client{Timeout: timeout, Transport: strict.New(strict.Config{Base: transport})}, nil
 }
--- a/dial/exchange.go
+++ b/dial/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"jackdawbarrow/strict"
 )
 
 const (
@@ -180,6 +182,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
+		if err := strict.CheckHead(raw); err != nil {
+			return nil, err
+		}
 		if raw.StatusCode >= 100 && raw.StatusCode < 200 {
 			continue
 		}
--- a/engine/client.go
+++ b/engine/client.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"jackdawbarrow"
+	"jackdawbarrow/strict"
 )
 
 // Headers of the protocol between the router and the upstreams.
@@ -44,7 +45,7 @@
 // Client implements jdaw.Engine and jdaw.Service.
 type Client struct {
 	cfg       Config
-	transport *http.Transport
+	transport *strict.Transport
 }
 
 var (
--- a/engine/conn.go
+++ b/engine/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"jackdawbarrow/strict"
 )
 
 var errNotWritable = errors.New("the credit has expired or the connection is sealed; request not written")
@@ -98,9 +100,9 @@
 	return a.wrote || a.untracked
 }
 
-func newTransport(dialTimeout time.Duration) *http.Transport {
+func newTransport(dialTimeout time.Duration) *strict.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return strict.New(strict.Config{Base: &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
@@ -115,5 +117,5 @@
 		// stream has one pair.
 		ReadBufferSize:  4 << 10,
 		WriteBufferSize: 4 << 10,
-	}
+	}})
 }
--- /dev/null
+++ b/fakes/raw.go
@@ -0,0 +1,50 @@
+package fakes
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// InvalidStatuses are status codes that no final response of HTTP/1.1 has to a
+// request without an upgrade.
+var InvalidStatuses = []string{"000", "001", "099", "+99", "101", "600", "999"}
+
+// RawConfig configures [Raw].
+type RawConfig struct {
+	// Response returns the bytes to send, with the head, for a request.
+	Response func(r *http.Request) string
+	// ResetAfter, if set, lets the body of the request unread and resets the
+	// connection so long after the response.
+	ResetAfter time.Duration
+}
+
+// Raw returns a handler that sends arbitrary bytes as its response and ends the
+// connection, like an upstream that fails.
+func Raw(cfg RawConfig) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if cfg.ResetAfter == 0 {
+			// Unread bytes would reset the connection, which can lose the response.
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, cfg.Response(r))
+		if cfg.ResetAfter > 0 {
+			time.Sleep(cfg.ResetAfter)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	}
+}
+
+// RawText returns a handler that sends a text as [Raw] does, with the lines of its
+// head separated by line feeds.
+func RawText(head, body string) http.HandlerFunc {
+	text := strings.ReplaceAll(head, "\n", "\r\n") + "\r\n\r\n" + body
+	return Raw(RawConfig{Response: func(*http.Request) string { return text }})
+}
--- a/orders/node.go
+++ b/orders/node.go
@@ -12,6 +12,7 @@
 
 	"jackdawbarrow"
 	"jackdawbarrow/owner"
+	"jackdawbarrow/strict"
 )
 
 // keyPrefix is the prefix of the lease keys, followed by the region.
@@ -43,7 +44,7 @@
 		cfg.Clock = jdaw.SystemClock{}
 	}
 	if cfg.HTTP == nil {
-		cfg.HTTP = &http.Client{Timeout: orderTimeout}
+		cfg.HTTP = &http.Client{Timeout: orderTimeout, Transport: strict.New(strict.Config{})}
 	}
 	if cfg.Log == nil {
 		cfg.Log = logrus.StandardLogger()
@@ -60,6 +61,7 @@
 func (n *Node) Close() {
 	n.cancel()
 	n.wg.Wait()
+	n.cfg.HTTP.CloseIdleConnections()
 }
 
 // Execute runs an action of the machine; it reports false for other actions.
--- /dev/null
+++ b/relay/malformed_test.go
@@ -0,0 +1,97 @@
+package relay_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"jackdawbarrow"
+	"jackdawbarrow/config"
+	"jackdawbarrow/fakes"
+)
+
+// raw sends a text for each request, in which %s is the request's id, and closes
+// the connection.
+func raw(text string) http.HandlerFunc {
+	return fakes.Raw(fakes.RawConfig{Response: func(r *http.Request) string { return fmt.Sprintf(text, r.Header.Get("Id")) }})
+}
+
+// checkOutcomeUnknown fails unless the reply is the relay's own and says that the
+// request may have run.
+func checkOutcomeUnknown(t *testing.T, got reply) {
+	t.Helper()
+	var p struct {
+		Code jdaw.Code `json:"code"`
+		Ran  jdaw.Ran  `json:"ran"`
+	}
+	err := json.Unmarshal([]byte(got.body), &p)
+	if got.err != nil || got.status != http.StatusBadGateway || err != nil || p.Code != jdaw.CodeOutcomeUnknown || p.Ran != jdaw.OutcomeUnknown {
+		t.Errorf("got %d, %v, %q, header %v; want %d with an unknown outcome", got.status, got.err, got.body, got.header, http.StatusBadGateway)
+	}
+}
+
+// checkMalformed sends requests of each kind of route to an upstream whose response
+// is malformed, alone and beside a sound one. The callers must get the answer of the
+// sound one, or learn that the request may have run.
+func checkMalformed(t *testing.T, malformed http.HandlerFunc) {
+	t.Helper()
+	for _, kind := range []config.RouteKind{config.RouteSafe, config.RouteUnsafe, config.RouteStreaming} {
+		t.Run(string(kind), func(t *testing.T) {
+			r := route(kind)
+			_, base := start(t, r, malformed)
+			checkOutcomeUnknown(t, send(t, base, http.MethodPost, "/a/x", nil))
+			sound, isSound := http.HandlerFunc(ok), func(got reply) bool { return got.body == "fine" }
+			if kind == config.RouteStreaming {
+				sound, isSound = streamUntil(8), func(got reply) bool { return len(ids(t, got.body)) == 8 }
+			}
+			for range 4 {
+				d, base := start(t, r, malformed, sound)
+				got := send(t, base, http.MethodPost, "/a/x", nil)
+				switch {
+				case kind == config.RouteUnsafe && len(d.arrived()) > 1:
+					t.Errorf("the request ran at %v", d.arrived())
+				case got.err == nil && got.status == http.StatusOK && isSound(got):
+				case kind == config.RouteUnsafe:
+					checkOutcomeUnknown(t, got)
+				default:
+					t.Errorf("beside a sound upstream: got %d, %v, %q", got.status, got.err, got.body)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a response whose status is none of HTTP's that reaches the caller
+// as an answer, as a closed connection, or as a refusal.
+func TestInvalidStatuses(t *testing.T) {
+	for _, status := range fakes.InvalidStatuses {
+		for name, field := range map[string]string{"signed": "", "refusal": "Not-Run: 1\r\n"} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				checkMalformed(t, raw("HTTP/1.1 "+status+" Text\r\nId: %s\r\nSigned: u\r\n"+field+"Content-Length: 4\r\n\r\ntext"))
+			})
+		}
+	}
+}
+
+// Guards against rejecting a status that HTTP allows but does not name.
+func TestUnnamedStatuses(t *testing.T) {
+	cases := map[string]struct {
+		kind   config.RouteKind
+		status int
+	}{
+		"safe":             {config.RouteSafe, 299},
+		"unsafe":           {config.RouteUnsafe, 209},
+		"unsafe, rejected": {config.RouteUnsafe, 499},
+		"unsafe, failed":   {config.RouteUnsafe, 599},
+		"streaming":        {config.RouteStreaming, 418},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, base := start(t, route(c.kind), raw(fmt.Sprintf("HTTP/1.1 %d Text\r\nId: %%s\r\nSigned: u\r\nContent-Length: 4\r\n\r\ntext", c.status)))
+			if got := send(t, base, http.MethodPost, "/a/x", nil); got.status != c.status || got.body != "text" {
+				t.Errorf("got %+v", got)
+			}
+		})
+	}
+}
