strict, dial, and all clients of net/http: malformed fields are rejected

Callers saw: a response with a line such as "Note : x" or "Bad Note: x" as an answer, with the line passed on. "Content-Length : 2" and "Transfer-Encoding : chunked" were passed on as well and did not frame the body: callers got what came until the connection ended, with the marks of the chunks. A line that begins with a blank or a tab was joined to the value of the field before it. A 503 with such a head was believed to promise that the request had not run. Clients of the stores, of orders and of the administration API took such responses for success.

Cause: net/textproto accepts blanks in names (go.dev/issue/34540) and joins folded lines, after which they can't be told from the value. Control bytes, in names and in values, it rejects itself; those cases passed before and are kept.

Evidence: TestInvalidFields, new: 47 lines (each control byte in a name, blanks, tabs, separators), in four places of the head for the relay. Failed on with those that hold a blank or begin with white space: in package relay 24 subtests, in each of entry, orders, admin, platform and store 8. The others passed.

Change: strict.CheckHead checks the names. strict.Conn scans the heads as they arrive, over interim responses too, and fails at a folded line, which RFC 9112, section 5.2, lets a gateway do. dial and strict.Transport use both; the clients of both stores, of the VM list, of load reports and of the command line use strict.Transport now. Under TLS (serve only) folded lines are still joined.

Result: TestInvalidFields passes, as do all tests with the race detector of packages dial, relay, engine, entry, orders, admin, store, owner, peers, feed, cmd, strict and platform (soak and crowds were not run).

--- a/cmd/jackdawbarrow/where.go
+++ b/cmd/jackdawbarrow/where.go
@@ -72,13 +72,17 @@
 	if c.PromptTokens != 0 {
 		query.Set("promptTokens", fmt.Sprint(c.PromptTokens))
 	}
+	client, err := httpClient("", whereTimeout)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, whereTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Metrics+"/where?"+query.Encode(), nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "make the question")
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "ask the VM")
 	}
--- a/dial/conn.go
+++ b/dial/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"jackdawbarrow/strict"
 )
 
 // readBuffer is the buffer size in bytes: the header of a response and many events
@@ -17,7 +19,7 @@
 
 // conn is a connection that serves one request at a time.
 type conn struct {
-	net.Conn
+	*strict.Conn
 	addr      string
 	isNamed   bool // its responses name their requests
 	source    *boundedReader
@@ -28,9 +30,10 @@
 }
 
 func newConn(nc net.Conn, addr string, closed func()) *conn {
-	source := &boundedReader{r: nc}
+	checked := strict.NewConn(nc)
+	source := &boundedReader{r: checked}
 	return &conn{
-		Conn: nc, addr: addr, source: source, r: bufio.NewReaderSize(source, readBuffer), closed: sync.OnceFunc(closed),
+		Conn: checked, addr: addr, source: source, r: bufio.NewReaderSize(source, readBuffer), closed: sync.OnceFunc(closed),
 	}
 }
 
@@ -77,7 +80,7 @@
 
 // hasNoInput does a non-blocking read of one byte, which must find none.
 func (c *conn) hasNoInput() bool {
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/dial/exchange.go
+++ b/dial/exchange.go
@@ -177,6 +177,9 @@
 func readResponse(c *conn, q Request) (*http.Response, error) {
 	req := &http.Request{Method: q.Method}
 	c.source.bound(maxHead)
+	if err := c.BeginHead(nil); err != nil {
+		return nil, err
+	}
 	for skipped := 0; ; {
 		raw, err := http.ReadResponse(c.r, req)
 		if err != nil {
@@ -206,6 +209,13 @@
 			return nil, errors.Wrap(err, "skip response to another request")
 		}
 		c.source.bound(maxHead)
+		read, err := c.r.Peek(c.r.Buffered())
+		if err == nil {
+			err = c.BeginHead(read)
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "read response")
+		}
 	}
 }
 
--- a/engine/conn.go
+++ b/engine/conn.go
@@ -79,11 +79,12 @@
 			if a.conn != nil {
 				a.wrote = a.conn.seal() || a.wrote
 			}
-			conn, ok := info.Conn.(*trackedConn)
-			if !ok {
+			outer, _ := info.Conn.(*strict.Conn)
+			if outer == nil {
 				a.untracked = true
 				return
 			}
+			conn := outer.Conn.(*trackedConn) // by the dialer of newTransport
 			conn.begin(a.useBefore)
 			a.conn = conn
 			a.reused = info.Reused
--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -55,3 +55,13 @@
 		}
 	}
 }
+
+// Guards against a response with a malformed field that reaches the caller as an
+// answer, with the line passed on or with a body that the line frames.
+func TestInvalidFields(t *testing.T) {
+	for name, line := range fakes.InvalidFields() {
+		t.Run(name, func(t *testing.T) {
+			checkMalformed(t, fakes.RawText("HTTP/1.1 200 OK\nContent-Type: text/plain\n"+line, "text"))
+		})
+	}
+}
--- a/fakes/raw.go
+++ b/fakes/raw.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,33 @@
 // request without an upgrade.
 var InvalidStatuses = []string{"000", "001", "099", "+99", "101", "600", "999"}
 
+// InvalidFields returns lines, by name, that the head of no response has.
+func InvalidFields() map[string]string {
+	lines := map[string]string{
+		"blank in the name":         "Bad Note: x",
+		"blank before the colon":    "Note : x",
+		"blank before the name":     " Note: x",
+		"tab before the colon":      "Note\t: x",
+		"tab before the name":       "\tNote: x",
+		"no name":                   ": x",
+		"blank name":                " : x",
+		"no colon":                  "Note",
+		"separator in the name":     "Note(s): x",
+		"high byte in the name":     "Not\xe9: x",
+		"length, blank after it":    "Content-Length : 2",
+		"length, blank before it":   " Content-Length: 2",
+		"chunks, blank after it":    "Transfer-Encoding : chunked",
+		"control byte in the value": "Note: x\x00y",
+		"carriage return alone":     "Note: x\ry",
+	}
+	for b := range byte(0x80) {
+		if isControl := b < ' ' || b == 0x7f; isControl && b != '\n' {
+			lines[fmt.Sprintf("byte %#02x in the name", b)] = "No" + string(rune(b)) + "te: x"
+		}
+	}
+	return lines
+}
+
 // RawConfig configures [Raw].
 type RawConfig struct {
 	// Response returns the bytes to send, with the head, for a request.
--- a/orders/malformed_test.go
+++ b/orders/malformed_test.go
@@ -32,3 +32,10 @@
 		})
 	}
 }
+
+// Guards against an order that counts as done by a response with a malformed field.
+func TestInvalidFields(t *testing.T) {
+	for name, line := range fakes.InvalidFields() {
+		t.Run(name, func(t *testing.T) { checkMalformed(t, fakes.RawText("HTTP/1.1 200 OK\nNote: x\n"+line, "{}")) })
+	}
+}
--- a/owner/node.go
+++ b/owner/node.go
@@ -12,6 +12,7 @@
 
 	"jackdawbarrow"
 	"jackdawbarrow/config"
+	"jackdawbarrow/strict"
 	"jackdawbarrow/wire"
 )
 
@@ -81,12 +82,12 @@
 }
 
 func newPollClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: strict.New(strict.Config{Base: &http.Transport{
 		Proxy:               nil,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     5 * pollInterval,
-	}}
+	}})}
 }
 
 // Holder returns the requester's side.
--- a/peers/node.go
+++ b/peers/node.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc"
 
 	"jackdawbarrow"
+	"jackdawbarrow/strict"
 	"jackdawbarrow/wire"
 )
 
@@ -101,7 +102,7 @@
 		clock: newHybridClock(cfg.Clock),
 		conns: newConnections(cfg.Dial, cfg.LocalAddr, cfg.TLS),
 		// The default client would use a proxy from the environment.
-		http: &http.Client{Timeout: listTimeout, Transport: &http.Transport{MaxIdleConns: 1}},
+		http: &http.Client{Timeout: listTimeout, Transport: strict.New(strict.Config{Base: &http.Transport{MaxIdleConns: 1}})},
 	}
 	n.machine = NewMachine(MachineConfig{
 		Self:    cfg.Self,
--- a/relay/malformed_test.go
+++ b/relay/malformed_test.go
@@ -95,3 +95,22 @@
 		})
 	}
 }
+
+// Guards against a response with a malformed field that reaches the caller as an
+// answer, with the line passed on or with a body that the line frames.
+func TestInvalidFields(t *testing.T) {
+	for name, line := range fakes.InvalidFields() {
+		for where, head := range map[string]string{
+			"last":    "Id: %s\r\nSigned: u\r\n" + line,
+			"between": "Id: %s\r\n" + line + "\r\nSigned: u",
+			"first":   line + "\r\nId: %s\r\nSigned: u",
+			"refusal": "Id: %s\r\nSigned: u\r\nNot-Run: 1\r\n" + line,
+		} {
+			status := "200 OK"
+			if where == "refusal" {
+				status = "503 Full"
+			}
+			t.Run(name+" "+where, func(t *testing.T) { checkMalformed(t, raw("HTTP/1.1 "+status+"\r\n"+head+"\r\n\r\ntext")) })
+		}
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -32,6 +32,7 @@
 	"github.com/cockroachdb/errors"
 
 	"jackdawbarrow"
+	"jackdawbarrow/strict"
 )
 
 // MaxValueBytes is the largest value that the key-value service takes.
@@ -106,7 +107,7 @@
 	transport.MaxIdleConnsPerHost = 16
 	c := &Client{cfg: cfg}
 	c.http = &http.Client{
-		Transport: transport,
+		Transport: strict.New(strict.Config{Base: transport}),
 		// A followed redirect of a PUT would send the write a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/strict/head.go
+++ b/strict/head.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // The range of valid status codes, see RFC 9110, section 15.
@@ -18,5 +19,10 @@
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
 		return errors.Newf("the status %q of the response is invalid", r.Status)
 	}
+	for name := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Newf("the name %q of a field of the response is invalid", name)
+		}
+	}
 	return nil
 }
--- a/strict/transport.go
+++ b/strict/transport.go
@@ -1,7 +1,10 @@
 package strict
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 
 	"github.com/cockroachdb/errors"
 )
@@ -23,12 +26,29 @@
 	if cfg.Base == nil {
 		cfg.Base = http.DefaultTransport.(*http.Transport).Clone()
 	}
+	cfg.Base.DialContext = wrapDial(cfg.Base.DialContext)
 	return &Transport{base: cfg.Base}
 }
 
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// wrapDial returns a dialer whose connections are of type *Conn.
+func wrapDial(dial dialFunc) dialFunc {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
+}
+
 // RoundTrip implements [http.RoundTripper].
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.base.RoundTrip(r)
+	resp, err := t.base.RoundTrip(r.WithContext(withHeads(r.Context())))
 	if err != nil {
 		return nil, err
 	}
@@ -39,5 +59,15 @@
 	return resp, nil
 }
 
+// withHeads lets a connection scan the response to the request that it is chosen for.
+// Under TLS it is of another type, since its bytes are not those of the response.
+func withHeads(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*Conn); ok {
+			_ = c.BeginHead(nil) // fails only by bytes read before
+		}
+	}})
+}
+
 // CloseIdleConnections is called by the method of that name of http.Client.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
