--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -2,34 +2,41 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"jackdawbarrow"
+	"jackdawbarrow/entry"
 	"jackdawbarrow/fakes"
 )
 
+// brokenCase is a request to the upstreams of the harness.
+type brokenCase struct {
+	path, body   string
+	isRepeatable bool
+}
+
 // checkMalformed sends chats and calls to upstreams of which the first one's
-// responses are malformed. Callers must get the answer of the sound one, or learn
-// that the request may have run.
+// responses are malformed.
 func checkMalformed(t *testing.T, malformed http.Handler) {
 	t.Helper()
-	h := newHarness(t, nil)
-	address := h.serve(malformed)
-	for i, u := range h.doc.Upstreams {
-		if u.ID == "e1" || u.ID == "p1" {
-			h.doc.Upstreams[i].Address = address
-		}
-	}
-	h.adopt()
-	for name, q := range map[string]struct {
-		path, body   string
-		isRepeatable bool
-	}{
+	checkBroken(t, malformed, map[string]brokenCase{
 		"chat":            {"/v1/chat/completions", chatBody("small@v1", "p", false), true},
 		"stream":          {"/v1/chat/completions", chatBody("small@v1", "p", true), true},
 		"idempotent call": {"/v1/services/desk/lookup/7", "{}", true},
 		"call":            {"/v1/services/desk/disqualify", "{}", false},
-	} {
+	})
+}
+
+// checkBroken sends requests to upstreams of which the first one's responses are
+// broken. Callers must get the answer of the sound one, or learn that the request may
+// have run.
+func checkBroken(t *testing.T, broken http.Handler, requests map[string]brokenCase) {
+	t.Helper()
+	h := newHarness(t, func(_ *harness, cfg *entry.Config) { cfg.MaxBodyBytes = 16 << 20 })
+	h.replaceFirstUpstreams(broken)
+	for name, q := range requests {
 		got := h.do("POST", q.path, q.body)
 		if q.isRepeatable {
 			if got.status != http.StatusOK {
@@ -44,6 +51,18 @@
 	h.checkBooks()
 }
 
+// replaceFirstUpstreams lets a handler serve the first engine and the first instance
+// of the plain service.
+func (h *harness) replaceFirstUpstreams(handler http.Handler) {
+	address := h.serve(handler)
+	for i, u := range h.doc.Upstreams {
+		if u.ID == "e1" || u.ID == "p1" {
+			h.doc.Upstreams[i].Address = address
+		}
+	}
+	h.adopt()
+}
+
 // Guards against a response whose status is none of HTTP's that reaches the caller
 // as an answer, as a closed connection, or as a refusal.
 func TestInvalidStatuses(t *testing.T) {
@@ -65,3 +84,43 @@
 		})
 	}
 }
+
+// upload doesn't fit into the buffers of the connection to an upstream. Its echo fits
+// into an answer.
+var upload = strings.Repeat("x", 6<<20)
+
+// Guards against an answer that broke off while the request was still being written,
+// and that reaches the caller as complete.
+func TestUploadsCutByTheirAnswer(t *testing.T) {
+	for name, framing := range map[string]string{"ends with its connection": "", "in chunks": "Transfer-Encoding: chunked\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			cut := fakes.Raw(fakes.RawConfig{ResetAfter: 20 * time.Millisecond, Response: func(*http.Request) string {
+				return "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + framing + "\r\n4\r\npart\r\n"
+			}})
+			for range 5 {
+				checkBroken(t, cut, map[string]brokenCase{
+					"idempotent call": {"/v1/services/desk/lookup/7", upload, true},
+					"call":            {"/v1/services/desk/disqualify", upload, false},
+				})
+			}
+		})
+	}
+}
+
+// Guards against a whole answer that is lost because it came before the end of the
+// request.
+func TestUploadsAnsweredEarly(t *testing.T) {
+	for name, framed := range map[string]string{"with a length": "Content-Length: 4\r\n\r\nfine", "in chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, func(_ *harness, cfg *entry.Config) { cfg.MaxBodyBytes = 16 << 20 })
+			h.replaceFirstUpstreams(fakes.Raw(fakes.RawConfig{ResetAfter: 20 * time.Millisecond, Response: func(*http.Request) string {
+				return "HTTP/1.1 200 OK\r\n" + framed
+			}}))
+			for range 5 {
+				if got := h.do("POST", "/v1/services/desk/disqualify", upload); got.status != http.StatusOK || got.body != "fine" {
+					t.Errorf("got %d %q", got.status, got.body)
+				}
+			}
+		})
+	}
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -213,10 +213,15 @@
 }
 
 func send(t *testing.T, base, method, path string, header map[string]string) reply {
+	t.Helper()
+	return sendBody(t, base, method, path, "body", header)
+}
+
+func sendBody(t *testing.T, base, method, path, body string, header map[string]string) reply {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, base+path, strings.NewReader("body"))
+	req, err := http.NewRequestWithContext(ctx, method, base+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
