entry: forwarded and stored answers with an invalid status are errors

Callers would see: a closed connection, or a 101 or 600, for a keyed request whose answer came from another VM or from the store of answers, if that VM has taken the status 000 of an upstream.

Cause: entry passes the status of ForwardReply and of StoredAnswer to WriteHeader unchecked, which panics below 100.

Evidence: TestInvalidStatusOfAnotherVM, new, failed in all eight cases (EOF, 101, 600).

--- a/dial/exchange.go
+++ b/dial/exchange.go
@@ -188,7 +188,7 @@
 		if err := strict.CheckHead(raw); err != nil {
 			return nil, err
 		}
-		if raw.StatusCode >= 100 && raw.StatusCode < 200 {
+		if !strict.IsFinalStatus(raw.StatusCode) {
 			continue
 		}
 		owner := q.ownerOf(raw)
--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -1,6 +1,8 @@
 package entry_test
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -124,3 +126,38 @@
 		})
 	}
 }
+
+// Guards against an answer with an invalid status that another VM, or an earlier
+// version that stored it, took from an upstream.
+func TestInvalidStatusOfAnotherVM(t *testing.T) {
+	for _, status := range []int{0, 99, 101, 600} {
+		for name, path := range map[string]string{"call": "/v1/services/desk/disqualify", "chat": "/v1/chat/completions"} {
+			t.Run(fmt.Sprintf("%s %03d", name, status), func(t *testing.T) {
+				h := newHarness(t, func(_ *harness, cfg *entry.Config) {
+					cfg.VerifyKey = func(_ jdaw.WorkspaceID, key string) (entry.KeyIssuer, bool, error) {
+						return entry.KeyIssuer{VM: "home"}, key == "issued", nil
+					}
+					cfg.Forward = func(context.Context, entry.KeyIssuer, entry.Forwarded) (entry.ForwardAnswer, error) {
+						return entry.ForwardAnswer{Status: status, ContentType: "application/json", Body: []byte("{}")}, nil
+					}
+				})
+				body := chatBody("small@v1", "p", true)
+				first := h.do("POST", path, body, "Idempotency-Key", "stored")
+				if first.status != http.StatusOK {
+					t.Fatalf("got %d %q", first.status, first.body)
+				}
+				h.mu.Lock()
+				for _, c := range h.claims {
+					c.answer.Status = status
+				}
+				h.mu.Unlock()
+				for _, key := range []string{"issued", "stored"} {
+					got := h.do("POST", path, body, "Idempotency-Key", key)
+					if code, ran := got.code(t); got.status != http.StatusBadGateway || code != jdaw.CodeOutcomeUnknown || ran != jdaw.OutcomeUnknown {
+						t.Errorf("%s: got %d %q, want an unknown outcome", key, got.status, got.body)
+					}
+				}
+			})
+		}
+	}
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -15,6 +15,7 @@
 
 	"jackdawbarrow"
 	"jackdawbarrow/config"
+	"jackdawbarrow/strict"
 )
 
 // request is one admitted request. It is not safe for concurrent use.
@@ -253,6 +254,9 @@
 			r.claimed = true
 			return nil, nil
 		case jdaw.ClaimSettled:
+			if err := checkStatus(c.Answer.Status); err != nil {
+				return nil, err
+			}
 			return &c.Answer, nil
 		case jdaw.ClaimUnknown:
 			return nil, jdaw.Fail(jdaw.CodeOutcomeUnknown, "request %s used this idempotency key and its outcome is not known", c.RequestID)
@@ -303,9 +307,21 @@
 	if err != nil && !errors.As(err, &coded) {
 		err = jdaw.Fail(jdaw.CodeOutcomeUnknown, "the VM that issued the idempotency key did not answer: %v", err)
 	}
+	if err == nil {
+		err = checkStatus(answer.Status)
+	}
 	return answer, err == nil, err
 }
 
+// checkStatus returns an error if a forwarded or stored answer has an invalid status.
+// Its VM may be of a version that takes such answers from upstreams.
+func checkStatus(status int) error {
+	if strict.IsFinalStatus(status) {
+		return nil
+	}
+	return jdaw.Fail(jdaw.CodeOutcomeUnknown, "the upstream answered with the invalid status %03d", status)
+}
+
 // HandleForward runs a request that another VM forwarded because this VM issued
 // its key. The answer is not streamed.
 func (e *Entry) HandleForward(ctx context.Context, q Forwarded) ForwardAnswer {
--- a/strict/scan.go
+++ b/strict/scan.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -65,5 +66,6 @@
 func isInterim(statusLine []byte) bool {
 	_, status, _ := strings.Cut(string(statusLine), " ")
 	code, _, _ := strings.Cut(strings.TrimSpace(status), " ")
-	return len(code) == 3 && code[0] == '1' && code != "101"
+	n, err := strconv.Atoi(code)
+	return err == nil && isInterimStatus(n)
 }
