strict: chunks of HTTP/1.0 are no body

Callers saw: of a response of HTTP/1.0 with "Transfer-Encoding: chunked" the chunks with their marks, as a complete answer.

Cause: net/http ignores the field in HTTP/1.0 and removes it, so the body seems to end with the connection. RFC 9112, section 6.1: its framing is faulty.

A stream with the marks is rejected as malformed.

--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -161,3 +161,9 @@
 		}
 	}
 }
+
+// Guards against chunks of HTTP/1.0, which has none, that reach the caller with their
+// marks as a body.
+func TestChunksOfHTTP10(t *testing.T) {
+	checkMalformed(t, fakes.RawText("HTTP/1.0 200 OK\nTransfer-Encoding: chunked", "4\r\ntext\r\n0\r\n\r\n"))
+}
--- a/relay/malformed_test.go
+++ b/relay/malformed_test.go
@@ -114,3 +114,9 @@
 		}
 	}
 }
+
+// Guards against chunks of HTTP/1.0, which has none, that reach the caller with their
+// marks as a body.
+func TestChunksOfHTTP10(t *testing.T) {
+	checkMalformed(t, raw("HTTP/1.0 200 OK\r\nId: %s\r\nSigned: u\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n"))
+}
--- a/strict/doc.go
+++ b/strict/doc.go
@@ -3,7 +3,7 @@
 // fields and body are not to be relied on. The request may have run. Rejected are
 //
 //   - status codes outside 100 to 599, and 101 without an upgrade
-//   - names of fields that are no tokens, and folded lines
+//   - names of fields that are no tokens, folded lines, transfer codings of HTTP/1.0
 //   - the end of a body that ends with its connection, if the connection was reset or
 //     ended before the request was written
 //
--- a/strict/strict_test.go
+++ b/strict/strict_test.go
@@ -25,9 +25,9 @@
 
 func (c textConn) Read(b []byte) (int, error) { return c.r.Read(b) }
 
-// Guards against a folded line in a head that passes by the way in which its bytes
-// arrive, and against white space in a body that fails a sound response.
-func TestFoldedLines(t *testing.T) {
+// Guards against a head that passes by the way in which its bytes arrive, and against
+// a body that fails a sound response.
+func TestScanOfHeads(t *testing.T) {
 	const interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
 	cases := map[string]struct {
 		text      string
@@ -46,6 +46,9 @@
 		"in an interim":            {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n y\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody", true},
 		"after an interim":         {interim + "HTTP/1.1 200 OK\r\nNote: x\r\n y\r\n\r\nbody", true},
 		"after an interim, blanks": {strings.Replace(interim, " 103", "   103", 1) + "HTTP/1.1 200 OK\r\nNote: x\r\n y\r\n\r\nbody", true},
+		"coding of HTTP/1.1":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+		"coding of HTTP/1.0":       {"HTTP/1.0 200 OK\r\nNote: x\r\ntransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
+		"other names, HTTP/1.0":    {"HTTP/1.0 200 OK\r\nTransfer-Encodings: x\r\nTransfer: x\r\nNote: Transfer-Encoding: x\r\n\r\nTransfer-Encoding: x\r\n", false},
 	}
 	readers := map[string]func(r io.Reader) io.Reader{
 		"at once":      func(r io.Reader) io.Reader { return r },
