--- a/relay/malformed_test.go
+++ b/relay/malformed_test.go
@@ -110,7 +110,9 @@
 			if where == "refusal" {
 				status = "503 Full"
 			}
-			t.Run(name+" "+where, func(t *testing.T) { checkMalformed(t, raw("HTTP/1.1 "+status+"\r\n"+head+"\r\n\r\ntext")) })
+			t.Run(name+" "+where, func(t *testing.T) {
+				checkMalformed(t, raw("HTTP/1.1 "+status+"\r\n"+head+"\r\n\r\nid: 1\ndata: 1\n\n"))
+			})
 		}
 	}
 }
@@ -118,5 +120,5 @@
 // Guards against chunks of HTTP/1.0, which has none, that reach the caller with their
 // marks as a body.
 func TestChunksOfHTTP10(t *testing.T) {
-	checkMalformed(t, raw("HTTP/1.0 200 OK\r\nId: %s\r\nSigned: u\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n"))
+	checkMalformed(t, raw("HTTP/1.0 200 OK\r\nId: %s\r\nSigned: u\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n"))
 }
