relay, engine: errors of callers don't quote a rejected response

Callers saw: in the 502 for a rejected response its status text, or the malformed line of its head, as a part of the error's message, up to the length of a head.

Cause: the text of the error that rejects a response became the message for the caller, since a coded error had one text for callers and for the log.

Change: a CodeError may have a cause, which its Error and the log have, cut to 256 bytes, and answers to callers have not. relay and engine give what went wrong with a response as the cause.

--- a/codes.go
+++ b/codes.go
@@ -179,17 +179,38 @@
 // String returns the name of the code.
 func (c Code) String() string { return c.Info().Name }
 
+// maxCauseText limits the text of a cause in bytes. It may quote what an upstream sent.
+const maxCauseText = 256
+
 // CodeError is an error with a result code and a message for the caller.
 type CodeError struct {
 	Code    Code
 	Message string
+	// Cause, if set, is for the log only.
+	Cause error
 	// RetryAfterSeconds is the value of the Retry-After header; 0 leaves it out.
 	RetryAfterSeconds int
 }
 
 // Error implements error.
 func (e *CodeError) Error() string {
-	return fmt.Sprintf("%s (%d): %s", e.Code, int(e.Code), e.Message)
+	return fmt.Sprintf("%s (%d): %s", e.Code, int(e.Code), e.Detail())
+}
+
+// Detail returns the message with the cause.
+func (e *CodeError) Detail() string {
+	if e.Cause == nil {
+		return e.Message
+	}
+	text := e.Cause.Error()
+	return e.Message + ": " + text[:min(len(text), maxCauseText)]
+}
+
+// WithCause returns a copy with a cause.
+func (e *CodeError) WithCause(cause error) *CodeError {
+	c := *e
+	c.Cause = cause
+	return &c
 }
 
 // WithRetryAfter returns a copy with a Retry-After of the given seconds.
--- a/engine/chat.go
+++ b/engine/chat.go
@@ -212,7 +212,7 @@
 	if errors.Is(s.ctx.Err(), context.DeadlineExceeded) {
 		return jdaw.Fail(jdaw.CodeUpstreamTimeout, "stream %s did not end within the deadline", s.id)
 	}
-	return jdaw.Fail(jdaw.CodeStreamBroken, "stream %s broke at position %d: %v", s.id, s.next, err)
+	return jdaw.Fail(jdaw.CodeStreamBroken, "stream %s broke at position %d", s.id, s.next).WithCause(err)
 }
 
 // event is the part of a chat.completion.chunk that the router reads.
--- a/engine/client.go
+++ b/engine/client.go
@@ -116,11 +116,11 @@
 	case !ran && timedOut:
 		return jdaw.Fail(jdaw.CodeDeadline, "the deadline passed before the request was sent to %s", host)
 	case !ran:
-		return jdaw.Fail(jdaw.CodeUpstreamConnection, "no connection to %s: %v", host, err)
+		return jdaw.Fail(jdaw.CodeUpstreamConnection, "no connection to %s", host).WithCause(err)
 	case timedOut:
 		return jdaw.Fail(jdaw.CodeUpstreamTimeout, "%s did not answer within the deadline", host)
 	}
-	return jdaw.Fail(jdaw.CodeOutcomeUnknown, "the connection to %s broke after the request was sent: %v", host, err)
+	return jdaw.Fail(jdaw.CodeOutcomeUnknown, "%s sent no valid response after the request was sent", host).WithCause(err)
 }
 
 // refusal is a coded error that reports whether the upstream is leaving.
--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -167,3 +167,20 @@
 func TestChunksOfHTTP10(t *testing.T) {
 	checkMalformed(t, fakes.RawText("HTTP/1.0 200 OK\nTransfer-Encoding: chunked", "4\r\ntext\r\n0\r\n\r\n"))
 }
+
+// Guards against bytes of a rejected response that reach the caller in the error's
+// message.
+func TestErrorsQuoteNoResponse(t *testing.T) {
+	for name, head := range map[string]string{
+		"status": "HTTP/1.1 000 Quoted", "status line": "Quoted", "blank": "HTTP/1.1 200 OK\nQuoted Name: x", "control byte": "HTTP/1.1 200 OK\nQuoted\x01: x",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, nil)
+			h.replaceFirstUpstreams(fakes.RawText(head, "text"))
+			got := h.do("POST", "/v1/services/desk/disqualify", "{}")
+			if code, _ := got.code(t); code != jdaw.CodeOutcomeUnknown || strings.Contains(got.body, "Quoted") {
+				t.Errorf("the caller got %q", got.body)
+			}
+		})
+	}
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -228,7 +228,7 @@
 	if snap := e.cfg.Config.Snapshot(); snap != nil {
 		fields["revision"] = snap.Revision()
 	}
-	e.cfg.Log.WithFields(fields).Info(text + ": " + coded.Message)
+	e.cfg.Log.WithFields(fields).Info(text + ": " + coded.Detail())
 }
 
 // Bounds of the backoff while another request holds the claim.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -269,7 +269,7 @@
 		}, true
 	case err != nil:
 		c.attempts++
-		return c.unknownOutcome(a, "the connection to the upstream broke: "+err.Error()), true
+		return c.unknownOutcome(a, "the upstream sent no valid response", err), true
 	case a.info.NotRun || a.info.IsOtherUpstream:
 		c.attempts++
 		c.exclude = append(c.exclude, a.reservation.ID)
@@ -283,7 +283,7 @@
 		}, true
 	case !a.info.IsSigned || a.info.IsEncoded:
 		c.attempts++
-		return c.unknownOutcome(a, "the response is not signed by the upstream, or is encoded"), true
+		return c.unknownOutcome(a, "the response is not signed by the upstream, or is encoded", nil), true
 	case a.response.Status >= http.StatusInternalServerError:
 		c.attempts++
 		c.mayHaveRun = true
@@ -296,15 +296,15 @@
 }
 
 // unknownOutcome returns the result of a failed attempt that may have run.
-func (c *call) unknownOutcome(a *attempt, why string) attemptResult {
+func (c *call) unknownOutcome(a *attempt, why string, cause error) attemptResult {
 	c.mayHaveRun = true
 	c.exclude = append(c.exclude, a.reservation.ID)
 	v := attemptResult{outcome: outcomeFailed, mayRetry: c.route.IsRepeatable()}
 	if c.ctx.Err() != nil {
-		v.err = jdaw.Fail(jdaw.CodeUpstreamTimeout, "the upstream did not answer in time")
+		v.err = jdaw.Fail(jdaw.CodeUpstreamTimeout, "the upstream did not answer in time").WithCause(cause)
 		return v
 	}
-	v.err = jdaw.Fail(jdaw.CodeOutcomeUnknown, "%s", why)
+	v.err = jdaw.Fail(jdaw.CodeOutcomeUnknown, "%s", why).WithCause(cause)
 	return v
 }
 
--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -130,7 +130,7 @@
 	}
 	v, ended := c.classify(r.a, r.err)
 	if r.bodyErr != nil {
-		v, ended = c.unknownOutcome(r.a, "the response was truncated: "+r.bodyErr.Error()), true
+		v, ended = c.unknownOutcome(r.a, "the response was truncated", r.bodyErr), true
 	}
 	c.count(r.a, v)
 	c.logAttempt(r.a, v)
--- a/relay/malformed_test.go
+++ b/relay/malformed_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"jackdawbarrow"
@@ -122,3 +123,31 @@
 func TestChunksOfHTTP10(t *testing.T) {
 	checkMalformed(t, raw("HTTP/1.0 200 OK\r\nId: %s\r\nSigned: u\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n"))
 }
+
+// Guards against bytes of a rejected response that reach the caller in the error's
+// message, and against a log without them.
+func TestErrorsQuoteNoResponse(t *testing.T) {
+	for name, head := range map[string]string{
+		"status":       "HTTP/1.1 000 Quoted\r\nId: %s\r\n",
+		"status line":  "Quoted\r\nId: %s\r\n",
+		"blank":        "HTTP/1.1 200 OK\r\nId: %s\r\nQuoted Name: x\r\n",
+		"control byte": "HTTP/1.1 200 OK\r\nId: %s\r\nQuoted\x01: x\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, base := start(t, route(config.RouteUnsafe), raw(head+"\r\ntext"))
+			got := send(t, base, http.MethodPost, "/a/x", nil)
+			checkOutcomeUnknown(t, got)
+			if strings.Contains(got.body, "Quoted") {
+				t.Errorf("the caller got %q", got.body)
+			}
+			isLogged := false
+			for _, e := range d.log.AllEntries() {
+				cause, _ := e.Data["cause"].(string)
+				isLogged = isLogged || strings.Contains(cause, "Quoted")
+			}
+			if !isLogged {
+				t.Error("the log doesn't say what was wrong")
+			}
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -72,7 +72,7 @@
 				c.reportAnswer(a.last)
 				return nil
 			}
-			v, ended = c.unknownOutcome(a, "the stream broke: "+err.Error()), true
+			v, ended = c.unknownOutcome(a, "the stream broke", err), true
 			if errors.Is(err, errCallerGone) || c.r.Context().Err() != nil {
 				v = attemptResult{outcome: outcomeNeutral, err: errCallerGone}
 			}
@@ -124,7 +124,7 @@
 func (c *call) forwardWhole(a *attempt, o outcome) error {
 	body, err := c.memory.readBody(a.response.Body, maxPlainAnswer)
 	if err != nil {
-		v := c.unknownOutcome(a, "the response was truncated: "+err.Error())
+		v := c.unknownOutcome(a, "the response was truncated", err)
 		a.end(v.outcome)
 		c.reportCrash(a, v)
 		return v.err
