--- a/strict/conn.go
+++ b/strict/conn.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// writeTimeout limits the wait for a write at the end of the input. The write ends at
-// once if the connection was reset; otherwise the peer still reads the request.
+// writeTimeout limits how long the end of the input waits for a write in progress. After
+// a reset the write fails at once; otherwise the peer may still read the request.
 const writeTimeout = time.Second
 
 var errUnfinishedWrite = errors.New("the connection ended before the request was written")
