strict, dial, engine: names and comments after a read-through

Cause: a first read of the diff stopped at the start of a head in dial, which was written twice, and at some comments. Change: conn.expectHead, withHeadScan, clearer comments, doc comments of dial and engine name package strict.

--- a/dial/doc.go
+++ b/dial/doc.go
@@ -1,8 +1,8 @@
 // Package dial pools the HTTP/1.1 connections to upstreams.
 //
 // Unlike the client of net/http, it writes a request at most once, reports whether
-// a byte of it may have reached the upstream, and discards responses to earlier
-// requests of the connection.
+// a byte of it may have reached the upstream, discards responses to earlier requests of
+// the connection, and rejects invalid ones, see package strict.
 //
 // # Usage
 //
--- a/dial/exchange.go
+++ b/dial/exchange.go
@@ -176,8 +176,7 @@
 // to earlier requests are skipped.
 func readResponse(c *conn, q Request) (*http.Response, error) {
 	req := &http.Request{Method: q.Method}
-	c.source.bound(maxHead)
-	if err := c.BeginHead(nil); err != nil {
+	if err := c.expectHead(); err != nil {
 		return nil, err
 	}
 	for skipped := 0; ; {
@@ -208,17 +207,23 @@
 		if _, err := io.Copy(io.Discard, raw.Body); err != nil {
 			return nil, errors.Wrap(err, "skip response to another request")
 		}
-		c.source.bound(maxHead)
-		read, err := c.r.Peek(c.r.Buffered())
-		if err == nil {
-			err = c.BeginHead(read)
-		}
-		if err != nil {
-			return nil, errors.Wrap(err, "read response")
+		if err := c.expectHead(); err != nil {
+			return nil, err
 		}
 	}
 }
 
+// expectHead bounds and checks the bytes of the next response's head, and of the
+// interim responses before it.
+func (c *conn) expectHead() error {
+	c.source.bound(maxHead)
+	read, err := c.r.Peek(c.r.Buffered())
+	if err == nil {
+		err = c.BeginHead(read)
+	}
+	return errors.Wrap(err, "read response")
+}
+
 // head encodes the request line and the headers.
 func (q Request) head() []byte {
 	var b bytes.Buffer
--- a/engine/doc.go
+++ b/engine/doc.go
@@ -5,7 +5,8 @@
 // CodeUpstreamConnection and CodeDeadline mean that no byte of the request was
 // or will be written; CodeUpstreamRefused means that the upstream reported that
 // it did not run it (status 503 or 404 with X-Not-Run: true). Once a byte has
-// been written, a broken connection is CodeOutcomeUnknown.
+// been written, a broken connection is CodeOutcomeUnknown, and so is a response that
+// package strict rejects.
 //
 // The protocol of an engine: the OpenAI chat completions API with SSE, where
 // each event has the position of its chunk as id and the response header
--- a/fakes/raw.go
+++ b/fakes/raw.go
@@ -44,8 +44,8 @@
 type RawConfig struct {
 	// Response returns the bytes to send, with the head, for a request.
 	Response func(r *http.Request) string
-	// ResetAfter, if set, lets the body of the request unread and resets the
-	// connection so long after the response.
+	// ResetAfter, if set, is the time from the response to the reset of the
+	// connection. The body of the request isn't read then.
 	ResetAfter time.Duration
 }
 
--- a/strict/conn.go
+++ b/strict/conn.go
@@ -15,9 +15,8 @@
 
 var errUnfinishedWrite = errors.New("the connection ended before the request was written")
 
-// Conn is a connection on which responses are read. Its Read fails in the middle of a
-// head that net/http would read otherwise than its sender meant it, and at the end of
-// a connection that was reset.
+// Conn is a connection on which responses are read. Its Read fails at a head that
+// net/http would misread, and at the end of the input if a write failed.
 type Conn struct {
 	net.Conn
 
@@ -33,8 +32,8 @@
 	return &Conn{Conn: c, writing: make(chan struct{}, 1), head: headScanner{isOver: true}}
 }
 
-// BeginHead tells that the head of a response follows. Its first bytes may have been
-// read before.
+// BeginHead starts the scan of the next response's head, of which some bytes may have
+// been read already.
 func (c *Conn) BeginHead(read []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/strict/head.go
+++ b/strict/head.go
@@ -24,7 +24,7 @@
 }
 
 // CheckHead returns an error if the head of a response to a request without an
-// upgrade is invalid.
+// upgrade is invalid. What net/http hides of the head is found by a [Conn].
 func CheckHead(r *http.Response) error {
 	if !IsFinalStatus(r.StatusCode) && !isInterimStatus(r.StatusCode) {
 		return errors.Newf("the status %q of the response is invalid", r.Status)
--- a/strict/scan.go
+++ b/strict/scan.go
@@ -25,12 +25,12 @@
 //   - transfer codings of HTTP/1.0, which net/http ignores. The framing of the body is
 //     not known then, see section 6.1.
 type headScanner struct {
-	isOver    bool // the final head has been read
-	isField   bool // the current line follows the status line
-	isInterim bool // by the status line
-	isOld     bool // of HTTP/1.0, by the status line
-	length    int  // of the current line so far
-	lineStart []byte
+	isOver    bool   // the final head has been read
+	isField   bool   // the current line follows the status line
+	isInterim bool   // by the status line
+	isOld     bool   // of HTTP/1.0, by the status line
+	length    int    // of the current line so far
+	lineStart []byte // the first bytes of the current line
 }
 
 // scan reads the next bytes of the response.
--- a/strict/transport.go
+++ b/strict/transport.go
@@ -48,7 +48,7 @@
 
 // RoundTrip implements [http.RoundTripper].
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.base.RoundTrip(r.WithContext(withHeads(r.Context())))
+	resp, err := t.base.RoundTrip(r.WithContext(withHeadScan(r.Context())))
 	if err != nil {
 		return nil, err
 	}
@@ -59,12 +59,12 @@
 	return resp, nil
 }
 
-// withHeads lets a connection scan the response to the request that it is chosen for.
-// Under TLS it is of another type, since its bytes are not those of the response.
-func withHeads(ctx context.Context) context.Context {
+// withHeadScan makes the connection that is chosen for a request scan the response's
+// head. Under TLS the connection is of another type, and the Conn below it sees no text.
+func withHeadScan(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok {
-			_ = c.BeginHead(nil) // fails only by bytes read before
+			_ = c.BeginHead(nil) // fails only for bytes read already
 		}
 	}})
 }
