--- a/fakes/raw.go
+++ b/fakes/raw.go
@@ -50,7 +50,8 @@
 }
 
 // Raw returns a handler that sends arbitrary bytes as its response and ends the
-// connection, like an upstream that fails.
+// connection, like an upstream that fails. A sound response needs Connection: close,
+// or the next request may be sent on the connection as it ends.
 func Raw(cfg RawConfig) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if cfg.ResetAfter == 0 {
