ledger: the next incarnation of a VM ends one that was never seen

Cause: a VM sends copies before the member table shows its incarnation. A holder that never saw the incarnation there counted it as dead after 10 s without a copy, and then treated its region as another one, which adds 10 s. A VM that failed in its first moments and was started again had its copies written after 21 s; the design says about 2 s. In that time both holders can fail.

Change: an incarnation that was never seen has ended when another one of its VM joined the table after its last copy and has been there for 1 s. Its region is the one of the VM's row.

Result: TestIncarnationThatWasNeverSeen failed before (not sealed within 3 s) and passes. Package ledger passes with the race detector.

--- a/ledger/copies.go
+++ b/ledger/copies.go
@@ -27,6 +27,10 @@
 	// in the member table counts as dead. A new incarnation sends copies
 	// before it appears there.
 	unseenTime = 10 * time.Second
+	// replacedTime is how long an incarnation that was never in the member
+	// table may still send a copy after another one of its VM has joined. That
+	// one may be an earlier one of which this VM has only just learned.
+	replacedTime = time.Second
 	// sealedRetention is how long a holder still rejects copies for a sealed
 	// journal.
 	sealedRetention = time.Hour
@@ -190,7 +194,7 @@
 	durableBefore uint64
 	firstCopy     time.Time // zero if it never sent a copy
 	lastCopy      time.Time
-	seenAlive     bool
+	seenAt        time.Time // when the member table first showed it alive; zero if it never did
 	sealing       bool
 	sealed        bool
 	sealedAt      time.Time
@@ -306,7 +310,10 @@
 	for _, m := range view.Members {
 		if m.VM != l.cfg.VM && m.State != jdaw.MemberDead && m.Incarnation != "" {
 			o := h.remoteJournal(m.VM, m.Incarnation)
-			o.seenAlive, o.region = true, m.Region
+			if o.seenAt.IsZero() {
+				o.seenAt = now
+			}
+			o.region = m.Region
 		}
 	}
 	h.lost.update(view, l.snapshot(), now)
@@ -322,13 +329,16 @@
 		if o.sealing {
 			continue
 		}
-		if !o.isDead(view, inc, now) {
+		if !h.isDead(o, view, inc, now) {
 			o.deadAt = time.Time{}
 			continue
 		}
 		if o.deadAt.IsZero() {
 			o.deadAt = now
 		}
+		if m, ok := view.Member(o.vm); ok && o.region == "" {
+			o.region = m.Region // all incarnations of a VM are in one region
+		}
 		if o.region != self.Region && (now.Sub(o.deadAt) < otherRegionDelay || h.lost.isCutOff(o.region, now)) {
 			continue
 		}
@@ -343,13 +353,26 @@
 	}
 }
 
-// isDead reports whether the journal's incarnation is over.
-func (o *remoteJournal) isDead(view *jdaw.View, inc jdaw.Incarnation, now time.Time) bool {
+// isDead reports whether the journal's incarnation is over. The caller holds mu.
+func (h *holders) isDead(o *remoteJournal, view *jdaw.View, inc jdaw.Incarnation, now time.Time) bool {
 	m, ok := view.Member(o.vm)
 	if ok && m.Incarnation == inc {
 		return m.State == jdaw.MemberDead
 	}
-	return o.seenAlive || now.Sub(o.firstCopy) > unseenTime && now.Sub(o.lastCopy) > unseenTime
+	if !o.seenAt.IsZero() {
+		return true
+	}
+	if ok && h.isReplaced(o, m, now) {
+		return true
+	}
+	return now.Sub(o.firstCopy) > unseenTime && now.Sub(o.lastCopy) > unseenTime
+}
+
+// isReplaced reports whether the VM failed and was started again as m before
+// the member table showed the journal's incarnation. The caller holds mu.
+func (h *holders) isReplaced(o *remoteJournal, m jdaw.Member, now time.Time) bool {
+	next := h.journals[m.Incarnation]
+	return next != nil && next.seenAt.After(o.lastCopy) && now.Sub(next.seenAt) > replacedTime
 }
 
 // isFirstSealer reports whether this VM seals a journal that it holds no copies
@@ -431,7 +454,7 @@
 func (h *holders) cancelSealing(o *remoteJournal, view *jdaw.View, inc jdaw.Incarnation, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !view.Isolated && o.isDead(view, inc, now) {
+	if !view.Isolated && h.isDead(o, view, inc, now) {
 		return false
 	}
 	o.sealing = false
