proof: a round of kills waits for the runs of the round before it

TestInvariantBilledOnce waited after each failure until each answer that a caller got has a bill, since a further death would belong to the same failure. It did not wait for requests that ran and got no answer, but requires a bill of those as well.

Change: the wait covers each request that an engine ran, with the same bound of 40 s, so a run without a bill now fails after each failure and not only at the end. The final check stays as it was. On a failure the test logs the journals, the times of the runs and those of the kills.

--- a/proof/billedonce_test.go
+++ b/proof/billedonce_test.go
@@ -79,7 +79,7 @@
 }
 
 func (l *chatLoad) died(v *vm) {
-	l.deaths = append(l.deaths, fmt.Sprintf("%s killed at %s", v.id, time.Now().UTC().Format("05.000")))
+	l.deaths = append(l.deaths, fmt.Sprintf("%s killed at %s", v.id, time.Now().UTC().Format("04:05.000")))
 }
 
 func (l *chatLoad) end() []demo.Reply {
@@ -266,12 +266,15 @@
 		}
 	}
 	ran := map[string]bool{}
+	var unbilled []string
 	for _, run := range s.engineRuns() {
 		ran[run.RequestID] = true
 		if _, ok := byID[run.RequestID]; !ok {
-			s.t.Errorf("request %s ran and has no bill", run.RequestID)
+			s.t.Errorf("request %s ran at %s and has no bill", run.RequestID, run.At.UTC().Format("04:05.000"))
+			unbilled = append(unbilled, run.RequestID)
 		}
 	}
+	s.describeJournals(unbilled)
 	for _, b := range bills {
 		if b.Cost > 0 && b.Service == "" && !ran[string(b.RequestID)] {
 			s.t.Errorf("request %s is billed %v and no engine ran it", b.RequestID, b.Cost)
@@ -325,6 +328,9 @@
 	bills := s.closedBills()
 	watch.see(bills)
 	whole := s.checkBills(bills, replies, cost)
+	if t.Failed() {
+		t.Log(load.deaths)
+	}
 	if len(watch.changed) > 0 {
 		t.Errorf("bills changed after they were settled: %v", watch.changed)
 	}
@@ -383,18 +389,21 @@
 const billedWait = 40 * time.Second
 
 // awaitAnswersBilled waits until each answer that a caller has got whole has a
-// settled bill. Until then a further death would belong to the same failure: an
-// entry may be lost when its home and both holders of its copies die before the
-// journal is sealed, which takes about 2 s, or within one outage.
+// settled bill, and each request that an engine ran has a bill. Until then a
+// further death would belong to the same failure: an entry may be lost when its
+// home and both holders of its copies die before the journal is sealed, which
+// takes about 2 s, or within one outage.
 func (s *system) awaitAnswersBilled(load *chatLoad, when string) []jdaw.Bill {
 	s.t.Helper()
 	load.mu.Lock()
 	replies := append([]demo.Reply(nil), load.replies...)
 	load.mu.Unlock()
+	runs := s.engineRuns()
 	for began := time.Now(); ; time.Sleep(100 * time.Millisecond) {
 		bills := s.bills()
-		settled := map[string]bool{}
+		billed, settled := map[string]bool{}, map[string]bool{}
 		for _, b := range bills {
+			billed[string(b.RequestID)] = true
 			settled[string(b.RequestID)] = b.State == jdaw.BillSettled
 		}
 		var missing []string
@@ -403,18 +412,24 @@
 				missing = append(missing, r.RequestID)
 			}
 		}
+		for _, r := range runs {
+			if !billed[r.RequestID] {
+				missing = append(missing, r.RequestID)
+			}
+		}
 		if len(missing) == 0 {
 			return bills
 		}
 		if time.Since(began) > billedWait {
 			s.describeJournals(missing)
 			s.t.Log(load.deaths)
-			s.t.Fatalf("answers without a settled bill %s after %s: %v", billedWait, when, missing)
+			s.t.Fatalf("answers without a settled bill, or runs without a bill, %s after %s: %v", billedWait, when, missing)
 		}
 	}
 }
 
-// describeJournals logs what is in the journals of requests that lack a bill.
+// describeJournals logs what is in the journals of requests that lack a bill,
+// and which VMs sealed them.
 func (s *system) describeJournals(ids []string) {
 	kv, err := store.New(store.Config{Addresses: []string{s.kv.url(0)}})
 	if err != nil {
@@ -436,7 +451,7 @@
 			}
 			_ = json.Unmarshal(item.Value, &slot)
 			if slot.Kind != "batch" || n >= len(items)-3 {
-				s.t.Logf("%s %s by %s at %s, %d bills", item.Key, slot.Kind, slot.By, slot.At.Format("05.000"), len(slot.Bills))
+				s.t.Logf("%s %s by %s at %s, %d bills", item.Key, slot.Kind, slot.By, slot.At.Format("04:05.000"), len(slot.Bills))
 			}
 			for _, b := range slot.Bills {
 				if string(b.RequestID) == id {
