--- a/proof/billedonce_test.go
+++ b/proof/billedonce_test.go
@@ -304,7 +304,7 @@
 			s.fault(s.kv, fakes.KeyValueFault{LoseAnswers: 0.4, LoseRequests: 0.2, Prefix: ledger.JournalPrefix, Seed: *seed})
 		}
 		s.killTwo(load, n, random)
-		watch.see(s.awaitAnswersBilled(load, fmt.Sprintf("kill %d", n)))
+		watch.see(s.awaitBilled(load, fmt.Sprintf("kill %d", n)))
 	}
 	kills := 2 * rounds
 	s.fault(s.kv, fakes.KeyValueFault{})
@@ -318,7 +318,7 @@
 	outages := (times(20) + 1) / 2
 	for n := range outages {
 		s.outageWithDeaths(load, n, random)
-		watch.see(s.awaitAnswersBilled(load, fmt.Sprintf("outage %d", n)))
+		watch.see(s.awaitBilled(load, fmt.Sprintf("outage %d", n)))
 	}
 	freezes := freezer.end()
 	replies := load.end()
@@ -388,12 +388,12 @@
 // two pauses of about 3 s, and is isolated for a part of that.
 const billedWait = 40 * time.Second
 
-// awaitAnswersBilled waits until each answer that a caller has got whole has a
+// awaitBilled waits until each answer that a caller has got whole has a
 // settled bill, and each request that an engine ran has a bill. Until then a
 // further death would belong to the same failure: an entry may be lost when its
 // home and both holders of its copies die before the journal is sealed, which
 // takes about 2 s, or within one outage.
-func (s *system) awaitAnswersBilled(load *chatLoad, when string) []jdaw.Bill {
+func (s *system) awaitBilled(load *chatLoad, when string) []jdaw.Bill {
 	s.t.Helper()
 	load.mu.Lock()
 	replies := append([]demo.Reply(nil), load.replies...)
