relay: a stopping VM refuses at once what it can't finish

Cause: a VM that was being stopped compared the deadline with the end of the drain only for requests that may run once. Those that may be repeated were accepted whatever they take. The check was made once, when the header had arrived; a request whose body or whose first refusal by an upstream came after the signal was dispatched without one. Ruled out: that the connection is still open. A request can always cross a close, and a short one can be answered.

Change: the relay keeps the longest recent answer of each route (for streams the time to the first event and per announced token) and accepts a request if its deadline, or for one that may be repeated its expected end, comes before the end of the drain. The check is repeated before each dispatch of a request that has not run. Cascades and retries count the time to the end of the drain. A refusal is 503, draining, not run, and ends the connection.

--- a/gate/process.go
+++ b/gate/process.go
@@ -433,10 +433,11 @@
 	return addresses
 }
 
-// Drain removes the VM from the directory, accepts late requests for a while, waits
-// for requests in flight, answers those that are left, and stops. Each response that
-// begins in a drain ends its connection; other connections are closed when they are
-// idle and the while is over. It returns within the grace time.
+// Drain removes the VM from the directory, accepts late connections for a while, waits
+// for requests in flight, answers those that are left, and stops. The relay refuses
+// requests that would not end in time. Each response that begins in a drain ends its
+// connection; other connections are closed when they are idle and the while is over.
+// It returns within the grace time.
 func (p *Process) Drain(grace time.Duration) {
 	startedAt := time.Now()
 	p.draining.Store(true)
--- a/gate/process_test.go
+++ b/gate/process_test.go
@@ -80,6 +80,9 @@
 		t := config.RouteTable{Revision: jdaw.Revision(c.Revision), Services: map[string]config.ServiceSpec{"s": {Name: "s"}}}.WithRoutes([]config.Route{{
 			Name: "r", Host: "127.0.0.1", Prefix: "/", Kind: config.RouteSafe, Timeout: 5 * time.Second, MaxAttempts: 2,
 			Shares: []config.ServiceShare{{Service: "s", Weight: 1}},
+		}, {
+			Name: "stream", Host: "127.0.0.1", Prefix: "/stream/", Kind: config.RouteStreaming, IsResumable: true, Timeout: 25 * time.Second, MaxAttempts: 2,
+			Shares: []config.ServiceShare{{Service: "s", Weight: 1}},
 		}})
 		return fleet.RoutesSeen{Table: &t}, nil
 	case "upstream":
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -106,8 +106,7 @@
 		return nil
 	}
 	c.x.cfg.Metrics.decided(c.service, resultGranted, place.Waiting, place.Waited)
-	// The VM may have begun to shut down meanwhile.
-	return c.checkDrain()
+	return nil
 }
 
 // queueRequest returns the request for a place.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -123,6 +123,11 @@
 func (c *call) reserve(model, resumeAfter string, limit time.Duration) (*attempt, error) {
 	st := c.x.cfg.Fleet.State()
 	at := time.Now()
+	if !c.mayHaveRun && !c.isStarted {
+		if err := c.checkDrain(); err != nil {
+			return nil, err
+		}
+	}
 	if err := c.checkQuarantine(at); err != nil {
 		return nil, err
 	}
@@ -347,7 +352,7 @@
 	if c.ctx.Err() != nil {
 		return 0
 	}
-	return c.remaining()
+	return c.untilEnd()
 }
 
 // attemptLimit returns the time for one attempt.
@@ -374,7 +379,9 @@
 		r, v, ended := c.attemptPlain(a)
 		if !ended {
 			c.leaveQueue(true)
-			c.reportAnswer(time.Now())
+			at := time.Now()
+			c.reportAnswer(at)
+			c.observeAnswer(at, time.Time{})
 			return c.writePlain(r.a.response, r.body)
 		}
 		// A failure that an upstream answered is better than none.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -82,8 +82,9 @@
 	hedges           *hedges
 	memory           *memoryBudget
 	admission        *admission
-	drainEnd         atomic.Pointer[time.Time] // nil until the VM is stopped
-	stopped          context.Context           // ends at drainEnd
+	answerTimes      *answerTimes
+	drain            atomic.Pointer[drain] // nil until the VM is stopped
+	stopped          context.Context       // ends with the drain
 	stop             context.CancelFunc
 }
 
@@ -94,7 +95,7 @@
 		stopped: stopped, stop: stop,
 		cfg: cfg, picker: newPicker(cfg.Self, cfg.Backlogs), retryBudget: newRetryBudget(), eventTimesByKind: newEventTimesByKind(),
 		abandonBudget: newAbandonBudget(), prefillRates: newPrefillRates(), memory: newMemoryBudget(cfg.BodyMemory),
-		hedges: newHedges(cfg.HedgeShare),
+		hedges: newHedges(cfg.HedgeShare), answerTimes: newAnswerTimes(),
 	}
 	x.admission = newAdmission(cfg, x.picker)
 	return x
@@ -102,7 +103,9 @@
 
 // Forget drops the state of removed upstreams and closes the connections to them.
 func (x *Relay) Forget(st *fleet.State) {
-	x.picker.forget(time.Now(), st)
+	at := time.Now()
+	x.picker.forget(at, st)
+	x.answerTimes.forget(at)
 	addrs := map[string]bool{}
 	for _, list := range st.Upstreams {
 		for i := range list {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -70,6 +70,7 @@
 				c.count(a, v)
 				a.end(outcomeOK)
 				c.reportAnswer(a.last)
+				c.observeAnswer(a.last, s.firstAt)
 				return nil
 			}
 			v, ended = c.unknownOutcome(a, "the stream broke", err), true
@@ -164,7 +165,7 @@
 	for _, m := range chosen {
 		s.cascade.plan.Costs = append(s.cascade.plan.Costs, costs[m])
 	}
-	s.cascade.plan.Remaining = c.remaining()
+	s.cascade.plan.Remaining = c.untilEnd()
 	s.cascade.step = c.x.cfg.Planner.Start(s.cascade.plan)
 	c.model = chosen[s.cascade.step]
 }
@@ -173,7 +174,8 @@
 type streaming struct {
 	c       *call
 	cascade *cascade
-	last    string // ID of the last event sent to the caller
+	last    string    // ID of the last event sent to the caller
+	firstAt time.Time // when the response head was sent
 	// mediaType is that of the response whose head was sent.
 	mediaType string
 	// isPrepaid is set if the budget for the next retry was already taken.
@@ -207,7 +209,7 @@
 		return false
 	}
 	plan := s.cascade.plan
-	plan.Remaining = c.remaining()
+	plan.Remaining = c.untilEnd()
 	rating := float64(a.info.Confidence) / 100
 	next, ok := c.x.cfg.Planner.Next(plan, s.cascade.step, true, rating)
 	c.x.cfg.Learner.Learn(jdaw.StepOutcome{
@@ -357,6 +359,7 @@
 	}
 	copyHeader(c.w.Header(), a.response.Header)
 	c.isStarted = true
+	s.firstAt = time.Now()
 	c.status = a.response.Status
 	s.mediaType = mediaType(a.response.Header)
 	c.x.abandonBudget.refill()
--- a/relay/where.go
+++ b/relay/where.go
@@ -205,7 +205,8 @@
 	cfg := x.cfg
 	cfg.Fleet, cfg.Planner = fixedFleet{Fleet: x.cfg.Fleet, st: st}, previewPlanner{x.cfg.Planner}
 	s := New(cfg)
-	s.drainEnd.Store(x.drainEnd.Load())
+	s.drain.Store(x.drain.Load())
+	s.answerTimes = x.answerTimes
 	return s
 }
 
