fleet, feed: replies of other VMs tell as of when the store was read

Cause: that other VM had lost the store and didn't know it yet. It answered "no changes" until its own watch was overdue, up to 4.1 s after the store's last answer, and the reply had no time of what it said. The asking VM took the arrival of the reply for that time: for what it honours, for whether it is current, for the age of orders and for its own entry. Ruled out: that it stays away from the store for 5 s after a failed watch. As long as the other VM reads the store that costs nothing.

Change: a reply has the time as of which the store was read, relative to the arrival of the request. It is relied on if the next reply, or an answer of the store, can still come within the time in which a change must be in force; after a stale one the store is asked at once. If the store doesn't answer either, the changes are used and the VM isn't current. A VM that is asked by others reads as often as a feeder.

The fakes of package fleet and the calls in feed's tests follow the changed interface; no check of theirs was changed.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -2,17 +2,24 @@
 
 import (
 	"context"
+	"math"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"jackdawbarrow"
 	"jackdawbarrow/peers"
 	"jackdawbarrow/wire"
 )
 
+// askedFor is the time for which a VM counts as one that others rely on: they ask
+// again at least each second.
+const askedFor = 2 * time.Second
+
 // defaultKeep holds the changes of some 20 s of a busy deployment; a VM that
 // asks for older ones reads them from the store.
 const defaultKeep = 512
@@ -60,9 +67,11 @@
 	changes []*cachedChange // by revision
 	first   uint64          // changes after this revision are kept
 	next    uint64          // revision of the last change read
+	readAt  time.Duration   // time as of which changes were read, by BootTime
 	hasRead bool
 	added   chan struct{} // closed when changes are added
 	conns   *peers.Connections
+	askedAt atomic.Int64 // last request of another VM, by BootTime
 }
 
 var _ jdaw.ChangeFeed = (*Feed)(nil)
@@ -76,16 +85,17 @@
 }
 
 // Restart implements [jdaw.ChangeFeed].
-func (f *Feed) Restart(revision uint64) {
+func (f *Feed) Restart(revision uint64, readAt time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.changes, f.first, f.next, f.hasRead = nil, revision, revision, true
+	f.changes, f.first, f.next, f.readAt, f.hasRead = nil, revision, revision, readAt, true
 }
 
 // Add implements [jdaw.ChangeFeed].
-func (f *Feed) Add(changes []jdaw.Change, next uint64) {
+func (f *Feed) Add(changes []jdaw.Change, next uint64, readAt time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.readAt = max(f.readAt, readAt)
 	if next <= f.next {
 		return
 	}
@@ -105,41 +115,59 @@
 	f.added = make(chan struct{})
 }
 
-// after returns the changes after a revision and the one to continue from. more is
-// closed when changes are added.
-func (f *Feed) after(revision uint64) (changes []*cachedChange, next uint64, isKept bool, more <-chan struct{}) {
+// IsAsked implements [jdaw.ChangeFeed].
+func (f *Feed) IsAsked() bool {
+	at := f.askedAt.Load()
+	return at > 0 && jdaw.BootTime()-time.Duration(at) < askedFor
+}
+
+// knownChanges is what this VM knows after a revision.
+type knownChanges struct {
+	changes []*cachedChange
+	next    uint64 // revision to continue from
+	readAt  time.Duration
+	isKept  bool            // all changes after the revision are known
+	more    <-chan struct{} // closed when changes are added
+}
+
+func (f *Feed) after(revision uint64) knownChanges {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.hasRead || revision < f.first {
-		return nil, 0, false, nil
+		return knownChanges{}
 	}
 	from := sort.Search(len(f.changes), func(i int) bool { return f.changes[i].Revision > revision })
-	return f.changes[from:], max(f.next, revision), true, f.added
+	return knownChanges{changes: f.changes[from:], next: max(f.next, revision), readAt: f.readAt, isKept: true, more: f.added}
 }
 
 // StoreChanges implements [wire.FeedServer].
 func (f *Feed) StoreChanges(ctx context.Context, q *wire.StoreChangesRequest) (*wire.StoreChangesReply, error) {
+	arrivedAt := jdaw.BootTime()
+	f.askedAt.Store(int64(arrivedAt))
 	timer := time.NewTimer(time.Duration(q.GetWaitMillis()) * time.Millisecond)
 	defer timer.Stop()
 	for isOver := false; ; {
-		changes, next, isKept, added := f.after(q.GetAfter())
-		reply := &wire.StoreChangesReply{Revision: next, Current: f.cfg.IsCurrent(), Gone: !isKept}
-		if len(changes) > 0 || !isKept || !reply.Current || isOver {
-			n := len(changes)
+		known := f.after(q.GetAfter())
+		reply := &wire.StoreChangesReply{
+			Revision: known.next, Current: f.cfg.IsCurrent(), Gone: !known.isKept,
+			ReadMillis: proto.Int64(wholeMillis(known.readAt - arrivedAt)),
+		}
+		if len(known.changes) > 0 || !known.isKept || !reply.Current || isOver {
+			n := len(known.changes)
 			if !q.GetAnySize() {
-				n = fittingCount(changes)
+				n = fittingCount(known.changes)
 			}
-			if n < len(changes) {
-				reply.Large = n == 0
-				reply.Revision = lastRevision(changes[:n], q.GetAfter())
+			if n < len(known.changes) {
+				reply.Large, reply.More, reply.ReadMillis = n == 0, true, nil
+				reply.Revision = lastRevision(known.changes[:n], q.GetAfter())
 			}
-			for _, c := range changes[:n] {
+			for _, c := range known.changes[:n] {
 				reply.Changes = append(reply.Changes, c.encode())
 			}
 			return reply, nil
 		}
 		select {
-		case <-added:
+		case <-known.more:
 		case <-timer.C:
 			isOver = true
 		case <-ctx.Done():
@@ -148,6 +176,11 @@
 	}
 }
 
+// wholeMillis rounds down, so that no reply seems more recent than it is.
+func wholeMillis(d time.Duration) int64 {
+	return int64(math.Floor(float64(d) / float64(time.Millisecond)))
+}
+
 // fittingCount returns the number of changes, of whole writes, that fit in one reply.
 // The caller continues after them. It is 0 if the first write does not fit.
 func fittingCount(changes []*cachedChange) int {
@@ -218,33 +251,38 @@
 }
 
 // Changes implements [jdaw.ChangeFeed].
-func (f *Feed) Changes(ctx context.Context, address string, q jdaw.FeedRequest) ([]jdaw.Change, uint64, error) {
+func (f *Feed) Changes(ctx context.Context, address string, q jdaw.FeedRequest) (jdaw.FeedReply, error) {
 	conn, err := f.conns.Conn(address, time.Now())
 	if err != nil {
-		return nil, 0, err
+		return jdaw.FeedReply{}, err
 	}
+	// The request arrives later than this, so that the changes were read no earlier than ReadAt.
+	askedAt := jdaw.BootTime()
 	reply, err := wire.NewFeedClient(conn).StoreChanges(ctx, &wire.StoreChangesRequest{
 		After: q.After, WaitMillis: q.Wait.Milliseconds(), AnySize: q.IsAnySize,
 	})
 	switch {
 	case err != nil:
-		return nil, 0, errors.Wrapf(err, "ask the VM at %s for changes", address)
+		return jdaw.FeedReply{}, errors.Wrapf(err, "ask the VM at %s for changes", address)
 	case reply.GetGone():
-		return nil, 0, errors.Mark(jdaw.ErrHistoryGone, jdaw.ErrReadStore)
+		return jdaw.FeedReply{}, errors.Mark(jdaw.ErrHistoryGone, jdaw.ErrReadStore)
 	case !reply.GetCurrent():
-		return nil, 0, ErrNotCurrent
+		return jdaw.FeedReply{}, ErrNotCurrent
 	case reply.GetLarge():
-		return nil, 0, errors.Mark(ErrTooLarge, jdaw.ErrReadStore)
+		return jdaw.FeedReply{}, errors.Mark(ErrTooLarge, jdaw.ErrReadStore)
+	}
+	r := jdaw.FeedReply{Changes: make([]jdaw.Change, 0, len(reply.GetChanges())), Next: reply.GetRevision(), HasMore: reply.GetMore()}
+	if reply.ReadMillis != nil {
+		r.ReadAt = askedAt + time.Duration(reply.GetReadMillis())*time.Millisecond
 	}
-	changes := make([]jdaw.Change, 0, len(reply.GetChanges()))
 	for _, w := range reply.GetChanges() {
 		c, err := decode(w)
 		if err != nil {
-			return nil, 0, errors.Mark(err, jdaw.ErrReadStore)
+			return jdaw.FeedReply{}, errors.Mark(err, jdaw.ErrReadStore)
 		}
-		changes = append(changes, c)
+		r.Changes = append(r.Changes, c)
 	}
-	return changes, reply.GetRevision(), nil
+	return r, nil
 }
 
 // Close closes the connections to other VMs.
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -42,12 +42,12 @@
 // Guards against changes that are lost or delivered twice to another VM.
 func TestChangesArriveOnce(t *testing.T) {
 	f, addr, _ := startFeed(t, 0)
-	f.Restart(10)
+	f.Restart(10, jdaw.BootTime())
 	other := New(Config{IsCurrent: func() bool { return true }})
 	defer other.Close()
 	go func() {
 		for revision := uint64(11); revision <= 60; revision++ {
-			f.Add([]jdaw.Change{change(revision)}, revision)
+			f.Add([]jdaw.Change{change(revision)}, revision, jdaw.BootTime())
 			if revision%7 == 0 {
 				time.Sleep(time.Millisecond)
 			}
@@ -56,19 +56,19 @@
 	at := uint64(10)
 	for at < 60 {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		changes, next, err := other.Changes(ctx, addr, jdaw.FeedRequest{After: at, Wait: 2 * time.Second})
+		reply, err := other.Changes(ctx, addr, jdaw.FeedRequest{After: at, Wait: 2 * time.Second})
 		cancel()
 		if err != nil {
 			t.Fatal(err)
 		}
-		for _, c := range changes {
+		for _, c := range reply.Changes {
 			at++
 			if want := change(at); c.Revision != at || c.Key != want.Key || c.Value[0] != want.Value[0] || c.Removed != want.Removed {
 				t.Fatalf("got %+v, want %+v", c, want)
 			}
 		}
-		if next != at {
-			t.Fatalf("go on from %d after %d", next, at)
+		if reply.Next != at {
+			t.Fatalf("go on from %d after %d", reply.Next, at)
 		}
 	}
 }
@@ -103,11 +103,12 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			f, addr, _ := startFeed(t, 0)
-			f.Restart(10)
-			f.Add([]jdaw.Change{{Key: "k", Value: c.value, Revision: 11}}, 11)
+			f.Restart(10, jdaw.BootTime())
+			f.Add([]jdaw.Change{{Key: "k", Value: c.value, Revision: 11}}, 11, jdaw.BootTime())
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
-			changes, _, err := f.Changes(ctx, addr, jdaw.FeedRequest{After: 10, Wait: time.Second, IsAnySize: c.isAnySize})
+			reply, err := f.Changes(ctx, addr, jdaw.FeedRequest{After: 10, Wait: time.Second, IsAnySize: c.isAnySize})
+			changes := reply.Changes
 			if isLeft := errors.Is(err, ErrTooLarge); isLeft != c.isLeft {
 				t.Fatalf("left to the store: %t (%v), want %t", isLeft, err, c.isLeft)
 			}
@@ -124,7 +125,7 @@
 // lost.
 func TestManyChangesComeInParts(t *testing.T) {
 	f, addr, _ := startFeed(t, 0)
-	f.Restart(10)
+	f.Restart(10, jdaw.BootTime())
 	const writes = 100
 	var all []jdaw.Change
 	for i := range writes {
@@ -132,12 +133,13 @@
 			all = append(all, jdaw.Change{Key: key, Value: noise(maxReplyBytes / 30), Revision: uint64(11 + i)})
 		}
 	}
-	f.Add(all, 10+writes)
+	f.Add(all, 10+writes, jdaw.BootTime())
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	got, at, replies := 0, uint64(10), 0
 	for at < 10+writes {
-		changes, next, err := f.Changes(ctx, addr, jdaw.FeedRequest{After: at, Wait: time.Second})
+		reply, err := f.Changes(ctx, addr, jdaw.FeedRequest{After: at, Wait: time.Second})
+		changes, next := reply.Changes, reply.Next
 		if err != nil || next <= at {
 			t.Fatalf("after %d: %d changes, go on from %d, %v", at, len(changes), next, err)
 		}
@@ -207,27 +209,27 @@
 		defer f.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		_, _, err := f.Changes(ctx, addr, jdaw.FeedRequest{After: after, Wait: 50 * time.Millisecond})
+		_, err := f.Changes(ctx, addr, jdaw.FeedRequest{After: after, Wait: 50 * time.Millisecond})
 		return err
 	}
 	f, addr, isCurrent := startFeed(t, 2)
 	if err := ask(addr, 10); !errors.Is(err, jdaw.ErrHistoryGone) {
 		t.Errorf("before the first read: %v", err)
 	}
-	f.Restart(10)
+	f.Restart(10, jdaw.BootTime())
 	if err := ask(addr, 10); err != nil {
 		t.Errorf("without changes: %v", err)
 	}
 	// Two of the changes have one revision: keeping one of them alone would
 	// lose the other.
-	f.Add([]jdaw.Change{change(11), change(12), change(12), change(13)}, 13)
+	f.Add([]jdaw.Change{change(11), change(12), change(12), change(13)}, 13, jdaw.BootTime())
 	if err := ask(addr, 11); !errors.Is(err, jdaw.ErrHistoryGone) {
 		t.Errorf("changes that are no longer kept: %v", err)
 	}
 	if err := ask(addr, 12); err != nil {
 		t.Errorf("changes that are kept: %v", err)
 	}
-	f.Add([]jdaw.Change{{Key: "big", Value: noise(maxReplyBytes + 1), Revision: 14}}, 14)
+	f.Add([]jdaw.Change{{Key: "big", Value: noise(maxReplyBytes + 1), Revision: 14}}, 14, jdaw.BootTime())
 	if err := ask(addr, 13); !errors.Is(err, ErrTooLarge) || !errors.Is(err, jdaw.ErrReadStore) {
 		t.Errorf("a large change: %v", err)
 	}
@@ -236,3 +238,49 @@
 		t.Errorf("without the store: %v", err)
 	}
 }
+
+// Guards against replies that seem more recent than they are, which makes another VM rely on
+// them instead of the store.
+func TestAgeOfReplies(t *testing.T) {
+	const age = 5 * time.Second
+	cases := map[string]struct {
+		changes []jdaw.Change
+		wait    time.Duration
+		want    time.Duration // 0: the reply tells no age
+	}{
+		"no changes":              {nil, 0, age},
+		"no changes after a wait": {nil, 300 * time.Millisecond, age + 300*time.Millisecond},
+		"a change":                {[]jdaw.Change{change(11)}, time.Second, age},
+		"a part of the changes": {[]jdaw.Change{
+			{Key: "a", Value: noise(maxReplyBytes * 3 / 4), Revision: 11}, {Key: "b", Value: noise(maxReplyBytes * 3 / 4), Revision: 12},
+		}, 0, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f, addr, _ := startFeed(t, 0)
+			readAt := jdaw.BootTime() - age
+			f.Restart(10, readAt)
+			if len(c.changes) > 0 {
+				f.Add(c.changes, 12, readAt)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			reply, err := f.Changes(ctx, addr, jdaw.FeedRequest{After: 10, Wait: c.wait})
+			if err != nil || !f.IsAsked() {
+				t.Fatalf("%v, asked: %t", err, f.IsAsked())
+			}
+			if c.want == 0 {
+				if reply.ReadAt != 0 || !reply.HasMore {
+					t.Errorf("a part was read at %s, more: %t; want no time", reply.ReadAt, reply.HasMore)
+				}
+				return
+			}
+			if got := jdaw.BootTime() - reply.ReadAt; got < c.want || reply.HasMore {
+				t.Errorf("reply of age %s, want %s or more; more: %t", got, c.want, reply.HasMore)
+			}
+			if reply.ReadAt < readAt-time.Second {
+				t.Errorf("read at %s, want about %s", reply.ReadAt, readAt)
+			}
+		})
+	}
+}
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -42,19 +42,26 @@
 	// storeBackoff is the time for which a failed store is not watched while
 	// other VMs serve its changes. A successful renewal ends it.
 	storeBackoff = 5 * time.Second
+	// probeWait bounds the wait of the first watch after a loss: while nothing changes,
+	// only its end shows that the store answers again.
+	probeWait = 10 * time.Millisecond
+	// replyMargin is left of the time within which a change must be in force when the
+	// store is asked because a reply of another VM is stale.
+	replyMargin = 100 * time.Millisecond
 	// maxReadersAsked bounds the VMs that are called in sequence when the store
 	// does not respond. Each call may take feedWait plus feedSlack.
 	maxReadersAsked = 2
 )
 
-// errNoReader is returned if no other VM that reads the store responds.
-var errNoReader = errors.New("no response from the store or from a VM that reads it")
-
 // batch is the result of one call for changes.
 type batch struct {
-	changes    []jdaw.Change
-	next       uint64 // revision to continue from
-	isFromPeer bool   // served by another VM
+	changes []jdaw.Change
+	next    uint64 // revision to continue from
+	// readAt is the time, by BootTime, as of which all changes up to next are known.
+	readAt     time.Duration
+	hasMore    bool // further changes can be read without a wait
+	isFromPeer bool // served by another VM
+	isStale    bool // served by another VM, and the store doesn't answer this one
 }
 
 // follow reads all items, then each change, and starts again after a gap.
@@ -78,6 +85,11 @@
 	}
 }
 
+// logStaleReply logs that a reply of another VM is too old to rely on.
+func (n *Node) logStaleReply(m Member, age time.Duration) {
+	n.cfg.Log.WithFields(logrus.Fields{"feeder": m.VM, "ageMs": age.Milliseconds()}).Info("reply of the feeder is stale; asking the store")
+}
+
 // logStoreLost logs the loss of the store once.
 func (n *Node) logStoreLost(err error) {
 	if n.lostAt == 0 {
@@ -114,7 +126,7 @@
 }
 
 func (n *Node) load(outage time.Duration) (uint64, error) {
-	asked := time.Now()
+	asked, readAt := time.Now(), jdaw.BootTime()
 	items, rev, err := n.cfg.Store.Load(n.ctx)
 	if err != nil {
 		return 0, err
@@ -124,7 +136,7 @@
 	if n.State() == nil {
 		lag = 0 // a starting VM takes the age of a roll-out from its step
 	}
-	n.recordContact()
+	n.recordRead(readAt)
 	n.expectWatch(0)
 	n.cfg.Post(Reloading{Outage: outage})
 	// Orders precede the entries that refer to them.
@@ -138,7 +150,7 @@
 	n.own.readUntil(asked)
 	n.cfg.Post(Synced{Reloaded: true})
 	if n.cfg.Feed != nil {
-		n.publishReload(items, rev)
+		n.publishReload(items, rev, readAt)
 	}
 	return rev, nil
 }
@@ -146,17 +158,17 @@
 // publishReload publishes the difference between a full read and the last
 // known state. When the store has discarded its history, the VMs fed by this
 // one can thus continue without a full read of their own.
-func (n *Node) publishReload(items []jdaw.Change, rev uint64) {
+func (n *Node) publishReload(items []jdaw.Change, rev uint64, readAt time.Duration) {
 	before := n.known
 	n.known = make(map[string]uint64, len(items))
 	for _, c := range items {
 		n.known[c.Key] = c.Revision
 	}
 	if before == nil {
-		n.cfg.Feed.Restart(rev)
+		n.cfg.Feed.Restart(rev, readAt)
 		return
 	}
-	n.cfg.Feed.Add(changesSince(before, items, rev), rev)
+	n.cfg.Feed.Add(changesSince(before, items, rev), rev, readAt)
 }
 
 // changesSince returns the changes up to a revision that turn the known keys
@@ -188,7 +200,7 @@
 			n.known[c.Key] = c.Revision
 		}
 	}
-	n.cfg.Feed.Add(b.changes, rev)
+	n.cfg.Feed.Add(b.changes, rev, b.readAt)
 }
 
 // followFrom posts changes until two consecutive calls fail: a single failure
@@ -211,10 +223,13 @@
 			continue
 		}
 		failures = 0
-		n.recordContact()
+		outage := n.TimeSinceContact()
+		n.recordRead(b.readAt)
 		rev = max(rev, b.next)
 		lag := paused
 		switch {
+		case b.isFromPeer && outage > n.maxReplyAge()+feedWait+feedSlack:
+			lag = outage
 		case b.isFromPeer:
 			lag = maxFeederPause
 		case time.Since(asked) > freshWait:
@@ -225,7 +240,7 @@
 			n.post(c, lag)
 		}
 		if b.isFromPeer {
-			asked = asked.Add(-feedLag)
+			asked = time.Now().Add(b.readAt - jdaw.BootTime())
 		}
 		n.own.readUntil(asked)
 		if len(b.changes) > 0 {
@@ -235,6 +250,8 @@
 			n.publishChanges(b, rev)
 		}
 		switch {
+		case b.isStale:
+			n.expectAnswer(0)
 		case b.isFromPeer:
 			n.expectPeer()
 		case len(b.changes) > 0:
@@ -262,64 +279,108 @@
 // changes waits for changes after a revision: from this VM's feeder or from
 // the store. The store may reject single VMs; meanwhile, changes come from
 // any VM that reads it.
+//
+// Another VM may have lost the store without knowing it yet. Its reply is relied on if
+// what it has read is so recent that the next reply, or an answer of the store, comes
+// within the time in which a change must be in force. After a stale reply the store is
+// asked, whatever it did before.
 func (n *Node) changes(rev uint64) (batch, error) {
-	if feeder, ok := n.feeder(); ok {
-		if b, err := n.fetchFrom(feeder, rev, false); err == nil {
-			return b, nil
+	var stale *batch // the most recent one
+	ask := func(m Member, isAnySize bool) (batch, bool) {
+		b, err := n.fetchFrom(m, rev, isAnySize)
+		if err != nil {
+			return b, false
+		}
+		if age := jdaw.BootTime() - b.readAt; !b.hasMore && age > n.maxReplyAge() {
+			b.isStale = true
+			if stale == nil || b.readAt > stale.readAt {
+				stale = &b
+			}
+			n.logStaleReply(m, age)
+			return b, false
 		}
+		return b, true
 	}
-	err := errNoReader
-	isAsked := int64(jdaw.BootTime()) >= n.avoidUntil.Load()
-	if isAsked {
-		var b batch
-		if b, err = n.watch(rev); err == nil {
-			n.logStoreRegained()
+	if feeder, ok := n.feeder(); ok {
+		if b, ok := ask(feeder, false); ok {
+			return b, nil
 		}
-		if err == nil || errors.Is(err, jdaw.ErrHistoryGone) || n.ctx.Err() != nil {
-			return b, err
+		if stale != nil {
+			n.avoided[feeder.VM] = time.Now().Add(feederBackoff)
 		}
-		n.expectAnswer(0)
 	}
-	for _, reader := range n.readers(n.isAvoided) {
-		b, askErr := n.fetchFrom(reader, rev, true)
-		if askErr != nil {
-			continue
+	avoidsStore := int64(jdaw.BootTime()) < n.avoidUntil.Load()
+	readers := n.readers(n.isAvoided)
+	if avoidsStore && len(readers) > 0 {
+		if b, ok := ask(readers[0], true); ok {
+			return b, nil
 		}
-		if isAsked {
+		readers = readers[1:]
+	}
+	b, err := n.watch(rev)
+	if err == nil {
+		n.avoidUntil.Store(0)
+		n.logStoreRegained()
+	}
+	if err == nil || errors.Is(err, jdaw.ErrHistoryGone) || n.ctx.Err() != nil {
+		return b, err
+	}
+	n.expectAnswer(0)
+	for _, reader := range readers {
+		if b, ok := ask(reader, true); ok {
 			n.avoidUntil.Store(int64(jdaw.BootTime() + storeBackoff))
 			n.logStoreLost(err)
+			return b, nil
 		}
-		return b, nil
 	}
-	// Without a reader, the store is called again despite its backoff.
 	n.avoidUntil.Store(0)
+	if stale != nil {
+		n.logStoreLost(err)
+		return *stale, nil
+	}
 	return batch{}, err
 }
 
+// maxReplyAge is the age up to which a reply of another VM is relied on without asking
+// the store. The next call of that VM may take feedWait and feedSlack.
+func (n *Node) maxReplyAge() time.Duration {
+	return max(n.cfg.ApplyWithin-feedWait-feedSlack-replyMargin, 0)
+}
+
 // fetchFrom reads changes from another VM. A large batch has to be read from
 // the store unless isAnySize is set.
 func (n *Node) fetchFrom(m Member, rev uint64, isAnySize bool) (batch, error) {
 	ctx, cancel := context.WithTimeout(n.ctx, feedWait+feedSlack)
 	defer cancel()
-	changes, next, err := n.cfg.Feed.Changes(ctx, m.Peers, jdaw.FeedRequest{After: rev, Wait: feedWait, IsAnySize: isAnySize})
+	r, err := n.cfg.Feed.Changes(ctx, m.Peers, jdaw.FeedRequest{After: rev, Wait: feedWait, IsAnySize: isAnySize})
 	if err != nil && n.ctx.Err() == nil && !errors.Is(err, jdaw.ErrReadStore) {
 		n.avoided[m.VM] = time.Now().Add(feederBackoff)
 		n.cfg.Log.WithError(err).WithField("feeder", m.VM).Info("feeder does not answer; using another source")
 	}
-	return batch{changes: changes, next: next, isFromPeer: true}, err
+	return batch{changes: r.Changes, next: r.Next, readAt: r.ReadAt, hasMore: r.HasMore, isFromPeer: true}, err
 }
 
-// watch waits for changes in the store. The first watch after a loss is short: while
-// nothing changes, only its end shows that the store answers again.
+// watch waits for changes in the store.
 func (n *Node) watch(rev uint64) (batch, error) {
 	wait, slack := n.watchTime()
 	if n.lostAt != 0 {
-		wait = min(wait, feedWait)
+		wait = min(wait, probeWait)
+	}
+	if n.ReadsStore() {
+		n.expectAnswer(wait + slack) // whether others rely on this VM may have changed
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, wait+slack)
 	defer cancel()
+	asked := jdaw.BootTime()
 	changes, next, err := n.cfg.Store.Changes(ctx, rev, wait)
-	return batch{changes: changes, next: next}, err
+	answered := jdaw.BootTime()
+	// Without changes, the store has answered at the end of the wait. Changes end the
+	// wait, and their way here may have taken as long as the watch tolerates.
+	readAt := min(asked+wait, answered)
+	if len(changes) > 0 {
+		readAt = max(asked, answered-slack)
+	}
+	return batch{changes: changes, next: next, readAt: readAt}, err
 }
 
 func (n *Node) isFeeder() bool {
@@ -327,11 +388,16 @@
 	return st != nil && n.cfg.Feed != nil && st.isFeeder(n.cfg.Self)
 }
 
+// isReliedOn reports whether other VMs rely on this one for changes.
+func (n *Node) isReliedOn() bool {
+	return n.isFeeder() || n.cfg.Feed != nil && n.cfg.Feed.IsAsked()
+}
+
 // watchTime returns the longest wait of a call to the store, and the time above
-// it after which the call has failed. A feeder must detect a loss of the
-// store soon, as others rely on it.
+// it after which the call has failed. A VM on which others rely must detect a loss
+// of the store soon, and its replies must be recent.
 func (n *Node) watchTime() (wait, slack time.Duration) {
-	if n.isFeeder() {
+	if n.isReliedOn() {
 		return feedWait, feedSlack
 	}
 	return watchWait, watchSlack
@@ -369,8 +435,8 @@
 		st = &State{}
 	}
 	pause := st.pause(time.Now(), n.cfg.ApplyWithin)
-	if n.isFeeder() {
-		pause = min(pause, maxFeederPause)
+	if n.isReliedOn() {
+		pause = min(pause, maxFeederPause, max(n.maxReplyAge()-feedWait-feedSlack, minBackoff))
 	}
 	return pause
 }
@@ -392,9 +458,13 @@
 	return pause
 }
 
-func (n *Node) recordContact() { n.lastContact.Store(int64(jdaw.BootTime())) }
+// recordRead records that all changes up to a time are known. Only the follower
+// goroutine calls it.
+func (n *Node) recordRead(readAt time.Duration) {
+	n.lastContact.Store(max(n.lastContact.Load(), int64(readAt)))
+}
 
-// TimeSinceContact returns the time since the last update from the store.
+// TimeSinceContact returns the age of what is known of the store.
 func (n *Node) TimeSinceContact() time.Duration {
 	return jdaw.BootTime() - time.Duration(n.lastContact.Load())
 }
--- a/fleet/follow_test.go
+++ b/fleet/follow_test.go
@@ -19,8 +19,9 @@
 	store *fakeStore
 }
 
-func (f otherStoreFeed) Changes(ctx context.Context, _ string, q jdaw.FeedRequest) ([]jdaw.Change, uint64, error) {
-	return f.store.Changes(ctx, q.After, q.Wait)
+func (f otherStoreFeed) Changes(ctx context.Context, _ string, q jdaw.FeedRequest) (jdaw.FeedReply, error) {
+	changes, next, err := f.store.Changes(ctx, q.After, q.Wait)
+	return jdaw.FeedReply{Changes: changes, Next: next, ReadAt: jdaw.BootTime()}, err
 }
 
 func discardLog() *logrus.Logger {
@@ -131,13 +132,13 @@
 	changes  []jdaw.Change
 }
 
-func (f *collectingFeed) Restart(uint64) {
+func (f *collectingFeed) Restart(uint64, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.restarts++
 }
 
-func (f *collectingFeed) Add(changes []jdaw.Change, _ uint64) {
+func (f *collectingFeed) Add(changes []jdaw.Change, _ uint64, _ time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.changes = append(f.changes, changes...)
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -52,10 +52,6 @@
 	Lease string `json:"lease,omitempty"`
 }
 
-// feedLag is the longest time after which a write is in the changes that a feeder
-// returns.
-const feedLag = maxFeederPause + feedWait
-
 // ownEntry compares the VM's entry in the store with the one that it wrote. A write
 // whose response is lost may be done seconds later, under a lease that nobody renews;
 // the entry then ends while the VM renews a lease that holds nothing.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -56,7 +56,7 @@
 type Node struct {
 	cfg         Config
 	state       atomic.Pointer[State]
-	lastContact atomic.Int64 // time of the last update from the store, by BootTime
+	lastContact atomic.Int64 // time as of which the store's changes are known, by BootTime
 	// nextReadDue is the deadline for the next update, and nextStoreReadDue that for a
 	// response of the store itself, by BootTime.
 	nextReadDue      atomic.Int64
--- a/fleet/node_test.go
+++ b/fleet/node_test.go
@@ -146,9 +146,9 @@
 // hungFeed is a feed of VMs that never respond.
 type hungFeed struct{}
 
-func (hungFeed) Changes(ctx context.Context, _ string, _ jdaw.FeedRequest) ([]jdaw.Change, uint64, error) {
+func (hungFeed) Changes(ctx context.Context, _ string, _ jdaw.FeedRequest) (jdaw.FeedReply, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return jdaw.FeedReply{}, ctx.Err()
 }
 
 func (hungFeed) Write(ctx context.Context, _ string, _ []jdaw.Entry) error {
@@ -160,8 +160,9 @@
 	<-ctx.Done()
 	return false, ctx.Err()
 }
-func (hungFeed) Restart(uint64)            {}
-func (hungFeed) Add([]jdaw.Change, uint64) {}
+func (hungFeed) Restart(uint64, time.Duration)            {}
+func (hungFeed) Add([]jdaw.Change, uint64, time.Duration) {}
+func (hungFeed) IsAsked() bool                            { return false }
 
 // Guards against a VM that gets no changes while its feeder hangs.
 func TestHungFeeder(t *testing.T) {
--- a/store.go
+++ b/store.go
@@ -99,20 +99,36 @@
 	IsAnySize bool
 }
 
+// FeedReply is what another VM knows of the store.
+type FeedReply struct {
+	Changes []Change
+	Next    uint64 // revision to continue from
+	// ReadAt is the time, by [BootTime] of this VM, as of which the other VM has read
+	// all changes up to Next, and at which there were no others. It is 0 if that VM
+	// doesn't tell, and with HasMore.
+	ReadAt time.Duration
+	// HasMore is set if further changes didn't fit; the next call returns them.
+	HasMore bool
+}
+
 // ChangeFeed relays changes of a [ChangeStore], and writes to it, between VMs.
 type ChangeFeed interface {
 	// Changes requests changes from the VM at an address, as from a
 	// [ChangeStore]. It fails if that VM does not read the store in time itself.
-	Changes(ctx context.Context, address string, q FeedRequest) ([]Change, uint64, error)
+	Changes(ctx context.Context, address string, q FeedRequest) (FeedReply, error)
 	// Write sends entries to the VM at an address, which writes them in a
 	// batch with those of other VMs.
 	Write(ctx context.Context, address string, entries []Entry) error
 	// WriteIf sends an entry to that VM, which calls PutIf immediately.
 	WriteIf(ctx context.Context, address string, e Entry, revision uint64) (bool, error)
-	// Restart discards all added changes; changes after the revision follow.
-	Restart(revision uint64)
-	// Add offers changes to other VMs; next is the revision to continue from.
-	Add(changes []Change, next uint64)
+	// Restart discards all added changes; changes after the revision follow. readAt
+	// is the time, by [BootTime], as of which everything up to the revision was read.
+	Restart(revision uint64, readAt time.Duration)
+	// Add offers changes to other VMs; next is the revision to continue from, and
+	// readAt as for Restart.
+	Add(changes []Change, next uint64, readAt time.Duration)
+	// IsAsked reports whether other VMs rely on this one for changes.
+	IsAsked() bool
 }
 
 // ChangeDecoder decodes a change of a key that others write to an event of the
