fleet: a connection that goes silent in a pause is noticed within 3 s

A VM whose connection to the store went silent while it paused between two watches honoured old keys and routes for 4.1 s, or 5.1 s where changes must be in force within 3 s.

Cause: the wait of a watch bounds the time to notice a dead connection, and the pause before it wasn't counted. It is the same class as the stale replies between VMs: silence taken for "no changes". Ruled out for feeders: their pause, wait and slack take 1.7 s.

Change: pause, wait and slack of a watch take 2.9 s together.

Evidence: TestConnectionThatGoesSilentInAPause failed on, "not within 2s" and "not within 3s: a change is in force", and passes now; package fleet passes with the race detector.

--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// watchWait bounds the wait of a watch, so that a dead connection is
-	// detected within 3 s. Each watch is a billed call.
+	// watchWait bounds the wait of a watch with the pause before it, so that a dead
+	// connection is detected within 3 s. Each watch is a billed call.
 	watchWait = 2400 * time.Millisecond
 	// watchSlack is the time above watchWait after which a watch counts as dead.
 	watchSlack = 500 * time.Millisecond
@@ -212,7 +212,7 @@
 	paused := n.pauseBefore()
 	for {
 		asked := time.Now()
-		b, err := n.changes(rev)
+		b, err := n.changes(rev, paused)
 		if err != nil {
 			n.expectAnswer(0)
 			failures++
@@ -240,9 +240,10 @@
 			n.post(c, lag)
 		}
 		if b.isFromPeer {
-			asked = time.Now().Add(b.readAt - jdaw.BootTime())
+			n.own.readUntil(time.Now().Add(b.readAt - jdaw.BootTime()))
+		} else {
+			n.own.readUntil(asked)
 		}
-		n.own.readUntil(asked)
 		if len(b.changes) > 0 {
 			n.cfg.Post(Synced{})
 		}
@@ -276,15 +277,15 @@
 	return paused
 }
 
-// changes waits for changes after a revision: from this VM's feeder or from
-// the store. The store may reject single VMs; meanwhile, changes come from
+// changes waits for changes after a revision: from this VM's feeder or, after a
+// pause, from the store. The store may reject single VMs; meanwhile, changes come from
 // any VM that reads it.
 //
 // Another VM may have lost the store without knowing it yet. Its reply is relied on if
 // what it has read is so recent that the next reply, or an answer of the store, comes
 // within the time in which a change must be in force. After a stale reply the store is
 // asked, whatever it did before.
-func (n *Node) changes(rev uint64) (batch, error) {
+func (n *Node) changes(rev uint64, paused time.Duration) (batch, error) {
 	var stale *batch // the most recent one
 	ask := func(m Member, isAnySize bool) (batch, bool) {
 		b, err := n.fetchFrom(m, rev, isAnySize)
@@ -317,7 +318,7 @@
 		}
 		readers = readers[1:]
 	}
-	b, err := n.watch(rev)
+	b, err := n.watch(rev, paused)
 	if err == nil {
 		n.avoidUntil.Store(0)
 		n.logStoreRegained()
@@ -360,9 +361,9 @@
 	return batch{changes: r.Changes, next: r.Next, readAt: r.ReadAt, hasMore: r.HasMore, isFromPeer: true}, err
 }
 
-// watch waits for changes in the store.
-func (n *Node) watch(rev uint64) (batch, error) {
-	wait, slack := n.watchTime()
+// watch waits for changes in the store after a pause.
+func (n *Node) watch(rev uint64, paused time.Duration) (batch, error) {
+	wait, slack := n.watchTime(paused)
 	if n.lostAt != 0 {
 		wait = min(wait, probeWait)
 	}
@@ -393,14 +394,14 @@
 	return n.isFeeder() || n.cfg.Feed != nil && n.cfg.Feed.IsAsked()
 }
 
-// watchTime returns the longest wait of a call to the store, and the time above
-// it after which the call has failed. A VM on which others rely must detect a loss
-// of the store soon, and its replies must be recent.
-func (n *Node) watchTime() (wait, slack time.Duration) {
+// watchTime returns the longest wait of a call to the store after a pause, and the
+// time above it after which the call has failed. A VM on which others rely must detect
+// a loss of the store soon, and its replies must be recent.
+func (n *Node) watchTime(paused time.Duration) (wait, slack time.Duration) {
 	if n.isReliedOn() {
 		return feedWait, feedSlack
 	}
-	return watchWait, watchSlack
+	return max(watchWait-paused, minBackoff), watchSlack
 }
 
 // feeder returns the VM to read changes from, see [State.source].
@@ -481,7 +482,7 @@
 
 // expectWatch sets the deadline for the response of a watch that starts after a pause.
 func (n *Node) expectWatch(paused time.Duration) {
-	wait, slack := n.watchTime()
+	wait, slack := n.watchTime(paused)
 	n.expectAnswer(paused + wait + slack)
 }
 
--- a/fleet/stale_reply_test.go
+++ b/fleet/stale_reply_test.go
@@ -178,6 +178,34 @@
 	}
 }
 
+// Guards against a VM that notices only after more than four seconds that the
+// connection of its watch has gone silent: during the pause before the watch.
+func TestConnectionThatGoesSilentInAPause(t *testing.T) {
+	cases := map[string]struct {
+		applyWithin time.Duration
+		changeAfter time.Duration // since the silence
+	}{
+		"changes in 2 s": {2 * time.Second, 1300 * time.Millisecond},
+		"changes in 3 s": {3 * time.Second, 1100 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := &fakeStore{}
+			vm := startLinked(t, store, members(1, "oban"), c.applyWithin)[0]
+			pause := (&State{}).pause(time.Now(), c.applyWithin)
+			time.Sleep(pause + pause/2) // of the start, which a pause follows as well
+			store.add(jdaw.Change{Key: "first", Revision: 2})
+			eventually(t, c.applyWithin, "a change is read", func() bool { return vm.seen.has("first") })
+			vm.link.setLosesWatches(true)
+			time.AfterFunc(pause+100*time.Millisecond, func() { vm.link.setLosesWatches(false) })
+			time.Sleep(c.changeAfter)
+			store.add(jdaw.Change{Key: "second", Revision: 3})
+			eventually(t, c.applyWithin, "a change is in force", func() bool { return vm.seen.has("second") })
+		})
+	}
+}
+
 // staleFeed is a feed of VMs that have read the store long ago and don't know it.
 type staleFeed struct {
 	hungFeed
