fleet, feed: a stopping VM takes no entries of other VMs

Counts of a roll-out could be lost in a planned stop: the VM that judges the version doesn't get them.

Cause: a VM that was being stopped accepted counts of other VMs ("written") and writes them with its own every 2 s. A stop without requests in progress ends after 2.8 s, and other VMs send to it for up to 2 s. It is the class of the streams that a stopping VM accepts and can't finish.

Change: from the signal on it refuses them, and the sender writes them to the store itself, as after any failure. Conditional writes, which end before their caller has the answer, are still done.

Evidence: TestStoppingVMTakesNoEntries failed before, "a stopping VM took an entry", and passes now. No loss on a deployment was seen or looked for.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -44,8 +44,9 @@
 
 // Writer writes entries of other VMs to the store.
 type Writer interface {
-	// Take accepts entries that may be written with others.
-	Take(entries []jdaw.Entry)
+	// Take accepts entries that may be written with others. It fails if this VM may
+	// stop before.
+	Take(entries []jdaw.Entry) error
 	// WriteIf writes at once, as [jdaw.ChangeStore] does with PutIf.
 	WriteIf(ctx context.Context, e jdaw.Entry, revision uint64) (bool, error)
 }
@@ -215,8 +216,8 @@
 	case !f.cfg.IsCurrent():
 		return nil, ErrNotCurrent
 	case !q.GetConditional():
-		f.cfg.Writer().Take(entries)
-		return &wire.WriteStoreReply{Written: true}, nil
+		err := f.cfg.Writer().Take(entries)
+		return &wire.WriteStoreReply{Written: err == nil}, err
 	case len(entries) != 1:
 		return nil, errors.Newf("a conditional write has %d entries, want 1", len(entries))
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -160,7 +160,10 @@
 	holds   uint64 // the revision at which conditional writes succeed
 }
 
-func (w *writer) Take(entries []jdaw.Entry) { w.taken = append(w.taken, entries...) }
+func (w *writer) Take(entries []jdaw.Entry) error {
+	w.taken = append(w.taken, entries...)
+	return nil
+}
 
 func (w *writer) WriteIf(_ context.Context, e jdaw.Entry, revision uint64) (bool, error) {
 	if revision != w.holds {
--- a/fleet/stale_reply_test.go
+++ b/fleet/stale_reply_test.go
@@ -206,6 +206,23 @@
 	}
 }
 
+// Guards against entries of other VMs that a VM takes although it stops before it
+// writes them.
+func TestStoppingVMTakesNoEntries(t *testing.T) {
+	vms := startLinked(t, &fakeStore{}, members(2, "oban"), 2*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	entries := []jdaw.Entry{{Key: "a", Value: []byte("1")}}
+	send := func() error { return vms[0].cfg.Feed.Write(ctx, vms[0].State().Members[1].Peers, entries) }
+	if err := send(); err != nil {
+		t.Fatalf("before the stop: %v", err)
+	}
+	vms[1].Leave()
+	if err := send(); err == nil {
+		t.Error("a stopping VM took an entry")
+	}
+}
+
 // staleFeed is a feed of VMs that have read the store long ago and don't know it.
 type staleFeed struct {
 	hungFeed
--- a/fleet/writes.go
+++ b/fleet/writes.go
@@ -91,14 +91,24 @@
 	return false, cause
 }
 
+// errLeaving is returned by a VM that is being stopped.
+var errLeaving = errors.New("this VM is being stopped and may not write the entries")
+
 // Take accepts entries of another VM, which are written with this VM's next
-// counts. Later values of a key replace earlier ones.
-func (n *Node) Take(entries []jdaw.Entry) {
+// counts. Later values of a key replace earlier ones. A VM that is being stopped may
+// end before, and accepts none.
+func (n *Node) Take(entries []jdaw.Entry) error {
+	select {
+	case <-n.leave:
+		return errLeaving
+	default:
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, e := range entries {
 		n.forwarded[e.Key] = e.Value
 	}
+	return nil
 }
 
 // WriteIf writes for another VM at once.
--- a/fleet/writes_test.go
+++ b/fleet/writes_test.go
@@ -115,8 +115,11 @@
 	defer n.Close()
 	for i := range jdaw.MaxPuts + 1 {
 		key := string(rune('A' + i))
-		n.Take([]jdaw.Entry{{Key: key, Value: []byte("old")}})
-		n.Take([]jdaw.Entry{{Key: key, Value: []byte("new")}})
+		for _, value := range []string{"old", "new"} {
+			if err := n.Take([]jdaw.Entry{{Key: key, Value: []byte(value)}}); err != nil {
+				t.Fatal(err)
+			}
+		}
 	}
 	n.shareCounts(nil)
 	eventually(t, time.Second, "all entries are written", func() bool { return len(store.keys()) == jdaw.MaxPuts+1 })
