demo: the caller of the proofs rejects malformed responses

The caller that the demo and the proofs send requests with took a response with the status 000 and a valid body for an answer ("Status:0 Code:ok"), and so malformed heads. No VM sends such responses; a proof could have missed one that does.

Looked for again: all other clients and the one call of http.ReadResponse use it; the readiness check of the demo's cluster, which compares a status with 200, doesn't.

--- a/demo/caller.go
+++ b/demo/caller.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"jackdawbarrow"
+	"jackdawbarrow/strict"
 )
 
 // Caller sends requests as an application does: it asks any VM for the entry
@@ -67,7 +68,7 @@
 // NewCaller makes a caller that knows the given addresses.
 func NewCaller(addresses []string) *Caller {
 	return &Caller{
-		HTTP:  &http.Client{Timeout: 2 * time.Minute},
+		HTTP:  &http.Client{Timeout: 2 * time.Minute, Transport: strict.New(strict.Config{})},
 		known: append([]string(nil), addresses...),
 	}
 }
