fleet: an answer with changes is no younger than the end of its wait

A VM that is suspended while the answer to its watch waits to be read would have vouched for the time of its return: the time of an answer with changes was taken from its arrival. The store answers within the wait, so that the end of the wait bounds it. Found by reading; no test plays it, and nothing was seen of it. The tests of stale replies pass.

--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -375,11 +375,11 @@
 	asked := jdaw.BootTime()
 	changes, next, err := n.cfg.Store.Changes(ctx, rev, wait)
 	answered := jdaw.BootTime()
-	// Without changes, the store has answered at the end of the wait. Changes end the
-	// wait, and their way here may have taken as long as the watch tolerates.
+	// The store has answered at the end of the wait, or at once with changes, whose way
+	// here may have taken as long as the watch tolerates.
 	readAt := min(asked+wait, answered)
 	if len(changes) > 0 {
-		readAt = max(asked, answered-slack)
+		readAt = max(asked, min(asked+wait, answered-slack))
 	}
 	return batch{changes: changes, next: next, readAt: readAt}, err
 }
--- a/relay/answer_times.go
+++ b/relay/answer_times.go
@@ -86,16 +86,6 @@
 	return t.routes[route].expected(at, tokens)
 }
 
-// observeAnswer records a whole answer; first is the time of its first event, zero if
-// it isn't a stream.
-func (c *call) observeAnswer(at, first time.Time) {
-	d := answerDuration{whole: at.Sub(c.startedAt)}
-	if !first.IsZero() {
-		d.first, d.tokens = first.Sub(c.startedAt), c.info.OutputTokens
-	}
-	c.x.answerTimes.observe(at, c.route.Name, d)
-}
-
 // forget drops the routes without a recent answer.
 func (t *answerTimes) forget(at time.Time) {
 	t.mu.Lock()
@@ -106,3 +96,13 @@
 		}
 	}
 }
+
+// observeAnswer records a whole answer; first is the time of its first event, zero if
+// it isn't a stream.
+func (c *call) observeAnswer(at, first time.Time) {
+	d := answerDuration{whole: at.Sub(c.startedAt)}
+	if !first.IsZero() {
+		d.first, d.tokens = first.Sub(c.startedAt), c.info.OutputTokens
+	}
+	c.x.answerTimes.observe(at, c.route.Name, d)
+}
