fleet: a VM is current no longer than what another VM has read allows

Change: after a reply of another VM, this one counts as current until the next reply is due or until what was read is older than the time in which a change must be in force, whichever comes first. The second bound was met only because the two times happen to add up to less.

Package fleet passes.

--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -254,7 +254,7 @@
 		case b.isStale:
 			n.expectAnswer(0)
 		case b.isFromPeer:
-			n.expectPeer()
+			n.expectPeer(b)
 		case len(b.changes) > 0:
 			paused = n.pauseBefore()
 		default:
@@ -493,9 +493,14 @@
 	n.nextStoreReadDue.Store(due)
 }
 
-// expectPeer sets the deadline for a response from another VM.
-func (n *Node) expectPeer() {
-	n.nextReadDue.Store(int64(jdaw.BootTime() + feedWait + feedSlack))
+// expectPeer sets the deadline for the response of another VM after the last one. It
+// comes while what that VM has read is recent enough.
+func (n *Node) expectPeer(last batch) {
+	due := jdaw.BootTime() + feedWait + feedSlack
+	if !last.hasMore {
+		due = min(due, last.readAt+n.cfg.ApplyWithin)
+	}
+	n.nextReadDue.Store(int64(due))
 	n.nextStoreReadDue.Store(0)
 }
 
