--- a/fleet/stale_reply_test.go
+++ b/fleet/stale_reply_test.go
@@ -206,6 +206,35 @@
 	}
 }
 
+// lateStore answers a watch with a change that is read only after a while, as by a VM
+// that was suspended meanwhile.
+type lateStore struct {
+	fakeStore
+	late time.Duration
+}
+
+func (s *lateStore) Changes(context.Context, uint64, time.Duration) ([]jdaw.Change, uint64, error) {
+	time.Sleep(s.late)
+	return []jdaw.Change{{Key: "k", Revision: 2}}, 2, nil
+}
+
+// Guards against a VM that vouches for the time in which it was suspended, because the
+// answer to its watch waited to be read.
+func TestAnswerReadLate(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n := &Node{cfg: Config{Store: &lateStore{late: watchSlack + 300*time.Millisecond}}, ctx: ctx, lostAt: 1}
+	asked := jdaw.BootTime()
+	b, err := n.watch(1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The store had answered by the end of the wait.
+	if since := b.readAt - asked; since < 0 || since > probeWait+100*time.Millisecond {
+		t.Errorf("read %s after the watch began, which waited for %s", since, probeWait)
+	}
+}
+
 // Guards against entries of other VMs that a VM takes although it stops before it
 // writes them.
 func TestStoppingVMTakesNoEntries(t *testing.T) {
